--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,1005 @@
+// This file makes every decision of a sentry: where a txn goes, when it goes again or is given up, which
+// workers are trusted, and how the sentry votes on a new build.
+//
+// How it is called: the host makes a Sentry with New and hands it each event by the method named for it
+// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming, Told), each with the clock. Those
+// set down what is wanted; emit, at the end of each, turns the difference to what is into actions on the
+// Sink. Ids, events and the Sink are in types.go. docs/design.md tells what follows the paper and why.
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"strconv"
+)
+
+// Tuned values: pure numbers, and spans that no setting gives.
+const (
+	beat       = 50 * Millisecond // housekeeping
+	warmUpAge  = 3 * Second       // younger workers of the pair give no evidence
+	pairFloor  = 12               // pairs before 'back'
+	backLevel  = 0.01             // of the sign test of failures
+	holdLevel  = 0.10             // of the same test, under a clock
+	leadLevel  = 0.25             // a lead at this level stops 'on'
+	slowerBy   = 1.4              // the trial side of a pair is slower when it takes this many times as long
+	slowFloor  = 30               // pairs before times count
+	slowLevel  = 0.002            // of the sign test of times
+	quietTimes = 5.0              // typical times without a word after which a worker is silent
+	hedgeTimes = 3.0              // typical times after which a second copy goes out
+	hedgeShare = 0.06             // second copies a txn
+	againShare = 0.25             // further submissions a txn
+	restAbove  = 0.35             // share of faults at which a worker rests
+	trickle    = 1 * Second       // between tries at a worker that is silent or rests
+	coldUsed   = 0.55             // part of the cold budget that is used
+	crossTimes = 15.0             // a crossing counts as this many times its price in waiting
+	ownBurst   = 100 * Millisecond
+)
+
+type arm uint8
+
+const (
+	noArm arm = iota
+	trialArm
+	baseArm
+)
+
+type answer uint8
+
+const (
+	unanswered answer = iota
+	declined
+	voided
+	settled // or left by its client
+)
+
+type product struct {
+	sla, memory  Nanos
+	inquiry, ref bool
+	anywhere     bool // a repeat is dropped by all workers
+	byZone       bool
+	revenue      float64
+	typical      float64 // smoothed time of settled submissions, over the expected work where that is told
+	toTrial      bool    // the toggle: the next pair txn goes to the trial
+	waiting      []showing
+}
+
+// showing is what one side of a pair showed.
+type showing struct {
+	good   bool
+	times  float64 // its time over the typical one
+	worker *worker
+}
+
+type worker struct {
+	Worker
+	open      int
+	slow, bad float64 // smoothed: time over the typical one, share of faults
+	queue     float64
+	heard     Nanos
+	nextTry   Nanos
+	counted   Nanos
+	against   int // discordant pairs that it lost for the trial
+	silent    bool
+	cold      float64 // submissions that a cold worker may still get
+	coldAt    Nanos
+}
+
+type submission struct {
+	to       *worker
+	sent     Nanos
+	rel      RelID
+	out, ran bool // ran: it may have run
+	arm      arm
+	tells    bool // its outcome is evidence
+}
+
+// txn is a txn in hand: what is wanted for it, and what it has.
+type txn struct {
+	Txn
+	gen  uint32
+	subs [8]submission
+	n    int
+	has  answer
+	want struct {
+		to     *worker
+		arm    arm
+		answer answer
+		wake   Nanos
+	}
+	touched bool
+}
+
+// Sentry is one instance of the module.
+type Sentry struct {
+	set map[string]any
+	rng *rand.Rand
+	out Sink
+	now Nanos
+
+	products []product
+	byID     map[TxnID]int32
+	slab     []txn
+	free     []int32
+	touched  []int32
+
+	workers             map[WorkerID]*worker
+	order               []*worker // by id
+	trials, bases, rest []*worker
+	tiltTrial, tiltBase float64 // what each side of the pair is to get, of all txns
+	credit              float64
+	creditTrial         float64
+	creditBase          float64
+	turn                int
+	fleet               float64 // workers that usually carry the load
+	rate                float64 // txns a second
+	taken               int
+	hedges, agains      float64 // further submissions left
+
+	news      News
+	newsAt    Nanos
+	trial     RelID // the newest build known
+	exposure  []float64
+	refilled  Nanos
+	metTrial  map[KeyID]struct{}
+	stageSeen int
+
+	pairs, against, favour   int
+	timed, slower, notSlower int
+	tally                    [2]struct{ many, bad float64 } // of earlier builds, of the trial
+
+	wantVote            Verdict
+	voteAt, votedAt     Nanos
+	wantWatch, watching bool
+	watchAt, watchGap   Nanos
+	beatAt              Nanos
+	mode                string
+}
+
+func (s *Sentry) num(name string, otherwise float64) float64 {
+	if v, ok := s.set[name].(float64); ok {
+		return v
+	}
+	return otherwise
+}
+
+func (s *Sentry) span(name string, otherwise Nanos) Nanos {
+	return Nanos(s.num(name, float64(otherwise)))
+}
+func (s *Sentry) flag(name string) bool   { v, _ := s.set[name].(bool); return v }
+func (s *Sentry) word(name string) string { v, _ := s.set[name].(string); return v }
+
+// New makes a sentry from the settings, a plain map of names to values.
+func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
+	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now}
+	for i := 0; i < int(s.num("products.count", 0)); i++ {
+		at := "products." + strconv.Itoa(i) + "."
+		p := product{sla: s.span(at+"sla", Second), memory: s.span(at+"memory", 0), revenue: s.num(at+"revenue", 1),
+			inquiry: s.word(at+"effect") == "inquiry-like", ref: s.word(at+"effect") == "referenced",
+			anywhere: s.word(at+"group") == "all", byZone: s.word(at+"group") == "zone"}
+		p.typical = float64(p.sla) / 5
+		s.products = append(s.products, p)
+	}
+	lanes := 1
+	if s.word("release.counts") == "product" {
+		lanes = max(1, len(s.products))
+	}
+	// A restart forgets what was sent: the count of exposure starts with nothing to spare.
+	s.exposure = make([]float64, lanes)
+	s.news.Rel = -1
+	s.wantWatch = s.word("discovery") == "ask"
+	s.hedges, s.agains = 5, 10
+	s.beatAt = now
+	s.emit()
+	return s
+}
+
+// ---- What is known of the workers ----
+
+// List takes in what discovery tells.
+func (s *Sentry) List(now Nanos, mode ListMode, list []Worker) {
+	s.now = now
+	if mode == NoList {
+		// Asking again at once would flood a service that is overloaded already.
+		s.watchGap = min(max(2*s.watchGap, Second), 4*Second)
+		s.watchAt, s.watching = now+s.watchGap/2+Nanos(s.rng.Int63n(int64(s.watchGap))), false
+	} else if mode != Restored {
+		s.watchGap = 0
+	}
+	if mode == Whole || mode == Restored {
+		for _, w := range s.order {
+			w.State = Gone // a worker that a whole list lacks is gone
+		}
+	}
+	for _, l := range list {
+		w := s.workers[l.ID]
+		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
+			// A new process owes nothing to what ran under its id before.
+			fresh := &worker{Worker: l, slow: 1, coldAt: now, cold: 1}
+			if w != nil {
+				fresh.open = w.open
+				s.drop(w)
+			}
+			w = fresh
+			s.workers[l.ID] = w
+			at := sort.Search(len(s.order), func(i int) bool { return s.order[i].ID >= l.ID })
+			s.order = append(s.order, nil)
+			copy(s.order[at+1:], s.order[at:])
+			s.order[at] = w
+		}
+		w.Worker = l
+		if l.Rel > s.trial {
+			s.newTrial(l.Rel)
+		}
+	}
+	s.arrange()
+	s.emit()
+}
+
+// drop takes a worker off the order; the map is the caller's.
+func (s *Sentry) drop(w *worker) {
+	for i, o := range s.order {
+		if o == w {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// ramp is the part of its capacity that a worker may have by now.
+func (s *Sentry) ramp(w *worker) float64 {
+	cold := s.span("rules.cold", 0)
+	if w.Start <= 0 || cold <= 0 || s.now-w.Start >= cold {
+		return 1
+	}
+	from := s.num("rules.cold-from", 1)
+	return from + (1-from)*max(0, float64(s.now-w.Start)/float64(cold))
+}
+
+func (s *Sentry) fit(w *worker) bool { return !w.silent && w.bad < restAbove }
+
+// onTrial tells whether a build's exposure is bounded.
+func (s *Sentry) onTrial(rel RelID) bool {
+	return rel > s.news.Rel || rel == s.news.Rel && s.news.Phase != Released
+}
+
+// capNow is the exposure that the trial may have; a build that no news named is in its first stage.
+func (s *Sentry) capNow() float64 {
+	if s.trial > s.news.Rel {
+		return s.num("release.caps.0", 0)
+	}
+	return s.news.Cap
+}
+
+// arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
+func (s *Sentry) arrange() {
+	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
+	up, all, trial := 0, 0.0, 0.0
+	for _, w := range s.order {
+		if w.State != Up {
+			continue
+		}
+		up++
+		all += s.ramp(w)
+		if s.onTrial(w.Rel) {
+			if w.Rel == s.trial {
+				trial += s.ramp(w)
+				s.trials = append(s.trials, w)
+			}
+			continue
+		}
+		s.rest = append(s.rest, w)
+	}
+	s.fleet = max(s.fleet*0.995, float64(up))
+	s.tiltTrial, s.tiltBase, s.stageSeen = 0, 0, max(s.stageSeen, 0)
+	if len(s.trials) == 0 || all <= 0 {
+		return
+	}
+	s.tiltTrial = min(trial/all, s.capNow())
+	// The baseline: as many of the newest earlier-build workers, of the trial's kinds and warm first.
+	kinds := map[KindID]int{}
+	for _, w := range s.trials {
+		kinds[w.Kind]++
+	}
+	sort.SliceStable(s.rest, func(i, j int) bool {
+		a, b := s.rest[i], s.rest[j]
+		if a.Rel != b.Rel {
+			return a.Rel > b.Rel
+		}
+		return a.Start > b.Start
+	})
+	keep := s.rest[:0]
+	spare := make([]*worker, 0, len(s.rest))
+	for _, w := range s.rest {
+		if kinds[w.Kind] > 0 && s.fit(w) && len(s.bases) < len(s.trials) {
+			kinds[w.Kind]--
+			s.bases = append(s.bases, w)
+		} else {
+			spare = append(spare, w)
+		}
+	}
+	for _, w := range spare {
+		if len(s.bases) < len(s.trials) && s.fit(w) {
+			s.bases = append(s.bases, w)
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.rest = keep
+	base := 0.0
+	for _, w := range s.bases {
+		base += s.ramp(w)
+	}
+	s.tiltBase = min(s.tiltTrial, base/all)
+}
+
+// ---- The rules, in one place: nothing is sent or answered that these do not allow ----
+
+// lane is the count of exposure that a product falls under.
+func (s *Sentry) lane(p ProductID) int {
+	if len(s.exposure) > 1 {
+		return int(p)
+	}
+	return 0
+}
+
+// maySend holds all rules on a submission of t to w, at this moment.
+func (s *Sentry) maySend(t *txn, w *worker) bool {
+	p := &s.products[t.Product]
+	if t.has != unanswered || s.now >= t.Expiry || t.n >= min(int(s.num("allow.submissions", 1)), len(t.subs)) {
+		return false
+	}
+	if w.State != Up { // the grace of a drain is not used
+		return false
+	}
+	for i := 0; i < t.n; i++ {
+		sub := &t.subs[i]
+		if sub.out && !s.flag("allow.copies") {
+			return false
+		}
+		if (sub.out || sub.ran) && !p.inquiry {
+			same := p.anywhere || p.byZone && w.Zone == sub.to.Zone || !p.byZone && w.Cell == sub.to.Cell
+			// The last tenth of the memory is left: the send takes time to arrive.
+			if !p.ref || !same || s.now-sub.sent >= p.memory*9/10 {
+				return false
+			}
+		}
+	}
+	if s.ramp(w) < 1 && w.cold < 1 {
+		return false
+	}
+	if s.onTrial(w.Rel) {
+		if w.Rel != s.trial || s.exposure[s.lane(t.Product)] < 1 || s.capNow() <= 0 {
+			return false
+		}
+		stage := s.news.Stage
+		if s.trial > s.news.Rel {
+			stage = 0
+		}
+		if stage < int(s.num("release.guarded-stages", 0)) && !p.inquiry {
+			return false
+		}
+	}
+	return !s.bound(t) || w.Rel >= s.trial
+}
+
+// bound tells that a key that the trial has answered must not meet an earlier build.
+func (s *Sentry) bound(t *txn) bool {
+	if t.Key == 0 || len(s.metTrial) == 0 {
+		return false
+	}
+	_, met := s.metTrial[t.Key]
+	return met
+}
+
+// mayDecline tells whether the client may be told that trying again does no harm.
+func (s *Sentry) mayDecline(t *txn) bool {
+	p := &s.products[t.Product]
+	if p.inquiry {
+		return true
+	}
+	for i := 0; i < t.n; i++ {
+		if (t.subs[i].out || t.subs[i].ran) && !(p.ref && p.anywhere) {
+			return false
+		}
+	}
+	return true
+}
+
+// refill lets budgets grow: for each lane, free attempts a window, which with the depth of the bucket add up
+// to the rule's figure in any window; for a cold worker, its even share of what it can do by now.
+func (s *Sentry) refill() {
+	dt := float64(s.now-s.refilled) / float64(Second)
+	s.refilled = s.now
+	free, window := s.num("release.free", 0), s.num("release.window", 1)/float64(Second)
+	deep := max(1, free/2)
+	for i := range s.exposure {
+		s.exposure[i] = min(deep, s.exposure[i]+dt*max(0, free-deep)/max(window, 0.001))
+	}
+	even := s.rate / max(1, s.fleet) * s.num("rules.fall-multiple", 1) * coldUsed
+	for _, w := range s.order {
+		if r := s.ramp(w); r < 1 {
+			deep := max(1.5, even*r*s.num("rules.fall-after", 0)/float64(Second)/2)
+			w.cold = min(deep, w.cold+even*r*float64(s.now-w.coldAt)/float64(Second))
+			w.coldAt = s.now
+		}
+	}
+}
+
+// ---- A txn's way ----
+
+// Take takes a txn from a client.
+func (s *Sentry) Take(now Nanos, in Txn) {
+	s.now = now
+	s.refill()
+	if len(s.free) == 0 {
+		s.slab = append(s.slab, txn{})
+		s.free = append(s.free, int32(len(s.slab)-1))
+	}
+	at := s.free[len(s.free)-1]
+	s.free = s.free[:len(s.free)-1]
+	t := &s.slab[at]
+	*t = txn{Txn: in, gen: t.gen + 1}
+	s.byID[in.ID] = at
+	s.taken++
+	s.hedges, s.agains = min(s.hedges+hedgeShare, 20), min(s.agains+againShare, 50)
+	lane := s.lane(t.Product)
+	s.exposure[lane] += s.capNow()
+	s.place(at)
+	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
+		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t), float64(p.sla)/2))
+	}
+	s.emit()
+	deep := max(1, s.num("release.free", 0)/2)
+	s.exposure[lane] = min(s.exposure[lane], deep)
+}
+
+// expected is the time that t should take at an ordinary worker.
+func (s *Sentry) expected(t *txn) float64 {
+	if t.Cost > 0 {
+		return s.products[t.Product].typical * float64(t.Cost)
+	}
+	return s.products[t.Product].typical
+}
+
+// place sets down where t goes next, or that it is given up.
+func (s *Sentry) place(at int32) {
+	t := &s.slab[at]
+	t.want.to, t.want.arm = s.choose(t)
+	s.touch(at)
+	if t.want.to != nil {
+		return
+	}
+	for i := 0; i < t.n; i++ {
+		if t.subs[i].out {
+			return // it may still be settled
+		}
+	}
+	t.want.answer = voided
+	if s.mayDecline(t) {
+		t.want.answer = declined
+	}
+}
+
+func (s *Sentry) touch(at int32) {
+	if !s.slab[at].touched {
+		s.slab[at].touched = true
+		s.touched = append(s.touched, at)
+	}
+}
+
+// choose picks the worker for t: by the pair's weighted round robin, toggle and rotation (steps 1 to 3) for a
+// first submission, else, and where the pair does not want it, the worker that should answer soonest.
+func (s *Sentry) choose(t *txn) (*worker, arm) {
+	if s.bound(t) {
+		w := s.rotate(s.trials, t)
+		return w, noArm
+	}
+	if t.n == 0 && len(s.trials) > 0 && (len(s.bases) == 0 || s.pairTakes(t)) {
+		s.credit += s.tiltTrial + s.tiltBase
+		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
+		s.creditBase = min(s.creditBase+s.tiltBase, 2)
+		if s.credit >= 1 {
+			s.credit = min(s.credit-1, 1)
+			p := &s.products[t.Product]
+			p.toTrial = !p.toTrial
+			toTrial := p.toTrial
+			if s.creditBase < 0.5 || len(s.bases) == 0 { // each held to its even share
+				toTrial = true
+			} else if s.creditTrial < 0.5 {
+				toTrial = false
+			}
+			if toTrial {
+				if w := s.rotate(s.trials, t); w != nil {
+					s.creditTrial--
+					return w, trialArm
+				}
+			} else if w := s.rotate(s.bases, t); w != nil {
+				s.creditBase--
+				return w, baseArm
+			}
+		}
+	}
+	if w := s.soonest(s.rest, t); w != nil {
+		return w, noArm
+	}
+	if w := s.soonest(s.bases, t); w != nil {
+		return w, noArm
+	}
+	return s.soonest(s.trials, t), noArm
+}
+
+// pairTakes tells whether a txn may go to either side of the pair.
+func (s *Sentry) pairTakes(t *txn) bool {
+	for _, w := range s.trials {
+		if s.maySend(t, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// rotate picks the next worker of a side in turn, those of the own zone first where crossing has a price.
+func (s *Sentry) rotate(side []*worker, t *txn) *worker {
+	s.turn++
+	for _, anyZone := range []bool{s.num("price.cross-zone", 0) == 0, true} {
+		for i := range side {
+			w := side[(s.turn+i)%len(side)]
+			if (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.maySend(t, w) && !t.tried(w) {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+func (t *txn) tried(w *worker) bool {
+	for i := 0; i < t.n; i++ {
+		if t.subs[i].to == w {
+			return true
+		}
+	}
+	return false
+}
+
+// soonest picks the worker that should answer first, as far as own submissions and reports tell.
+func (s *Sentry) soonest(from []*worker, t *txn) *worker {
+	var best *worker
+	least := math.Inf(1)
+	for _, w := range from {
+		if !s.maySend(t, w) {
+			continue
+		}
+		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad)
+		if w.Zone != ZoneID(s.num("zone", -1)) {
+			cost *= 1 + crossTimes*s.num("price.cross-zone", 0)
+		}
+		if !s.fit(w) {
+			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
+			// be repeated now and then; this also brings back whatever has recovered.
+			if s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
+				cost *= 1000
+			} else {
+				cost = 0
+			}
+		}
+		if t.tried(w) {
+			cost *= 100
+		}
+		if cost *= 0.95 + 0.1*s.rng.Float64(); cost < least {
+			best, least = w, cost
+		}
+	}
+	if best != nil && !s.fit(best) {
+		best.nextTry = s.now + trickle
+	}
+	return best
+}
+
+// Outcome takes the end of a submission.
+func (s *Sentry) Outcome(now Nanos, o Outcome) {
+	s.now = now
+	at, held := s.byID[o.Txn]
+	if !held || o.Number < 0 || o.Number >= s.slab[at].n || !s.slab[at].subs[o.Number].out {
+		return
+	}
+	s.refill()
+	t := &s.slab[at]
+	sub := &t.subs[o.Number]
+	sub.out = false
+	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
+	sub.to.open--
+	s.learn(t, sub, o)
+	if o.Over {
+		t.has = settled
+	}
+	if o.Ending == OK && sub.rel == s.trial && t.Key != 0 && s.flag("release.one-way") &&
+		(s.onTrial(s.trial) && s.news.Phase != GoingBack && s.news.Phase != Withdrawn || s.news.Phase == Released) {
+		s.metTrial[t.Key] = struct{}{}
+	}
+	if t.has == unanswered {
+		again := o.Ending == Full || o.Ending == ConnectFailed || s.agains >= 1
+		if now < t.Expiry && again && o.Ending != Cancelled {
+			s.agains--
+			s.place(at)
+		} else {
+			s.giveUp(at)
+		}
+	}
+	s.touch(at)
+	s.emit()
+}
+
+// giveUp sets down a final answer unless something out may still settle the txn.
+func (s *Sentry) giveUp(at int32) {
+	t := &s.slab[at]
+	for i := 0; i < t.n; i++ {
+		if t.subs[i].out && s.now < t.Expiry {
+			return
+		}
+	}
+	t.want.answer = voided
+	if s.mayDecline(t) {
+		t.want.answer = declined
+	}
+	s.touch(at)
+}
+
+// learn takes from an outcome what it tells of the worker, of usual times and of the pair.
+func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
+	w, p := sub.to, &s.products[t.Product]
+	times := float64(o.Elapsed) / max(s.expected(t), 1)
+	if o.Load != nil && o.Load.Queue >= 0 {
+		w.queue = o.Load.Queue
+	}
+	switch o.Ending {
+	case OK:
+		w.heard, w.silent = s.now, false
+		w.bad *= 0.85
+		w.slow += 0.15 * (min(times, 20) - w.slow)
+		unit := float64(o.Elapsed)
+		if t.Cost > 0 {
+			unit /= float64(t.Cost)
+			if p.typical > 1000 { // the first told cost: the smoothed figure changes its unit
+				p.typical = unit
+			}
+		}
+		p.typical += 0.01 * (min(unit, 4*p.typical) - p.typical)
+	case Erred, Full:
+		w.heard, w.silent = s.now, false
+		w.bad += 0.15 * (1 - w.bad)
+	case Broken, ConnectFailed:
+		w.bad += 0.4 * (1 - w.bad)
+	case TimedOut, Cancelled:
+		w.slow = max(w.slow, w.slow+0.15*(min(times, 20)-w.slow))
+	case Moot:
+		return
+	}
+	if sub.arm == noArm || !sub.tells || sub.rel != s.trial && sub.arm == trialArm || w.silent {
+		return
+	}
+	good := o.Ending == OK && o.Elapsed <= 2*p.sla
+	if o.Ending == ConnectFailed || o.Ending == Cancelled && o.Elapsed <= 2*p.sla {
+		return
+	}
+	show := showing{good, times, w}
+	if sub.arm == trialArm {
+		s.stageSeen++
+		if len(p.waiting) < 64 {
+			p.waiting = append(p.waiting, show)
+		}
+	} else if len(p.waiting) > 0 {
+		s.pair(p.waiting[0], show)
+		copy(p.waiting, p.waiting[1:])
+		p.waiting = p.waiting[:len(p.waiting)-1]
+	}
+}
+
+// pair counts one pair (step 4).
+func (s *Sentry) pair(trial, base showing) {
+	s.pairs++
+	if trial.good != base.good {
+		loser := trial.worker
+		if trial.good {
+			loser = base.worker
+		}
+		// Danger: a worker that dies fails all that it holds at once, which is one piece of evidence, not many.
+		if s.now-loser.counted < ownBurst {
+			return
+		}
+		loser.counted = s.now
+		loser.against++
+		if trial.good {
+			s.favour++
+		} else {
+			s.against++
+		}
+	} else if trial.good {
+		s.timed++
+		if trial.times > slowerBy*base.times {
+			s.slower++
+		} else if trial.times < slowerBy*base.times {
+			s.notSlower++
+		}
+	}
+}
+
+// signTest is the chance that a fair coin gives at least a of a+b.
+func signTest(a, b int) float64 {
+	n := a + b
+	if n == 0 {
+		return 1
+	}
+	p, ln := 0.0, float64(n)*math.Ln2
+	top, _ := math.Lgamma(float64(n + 1))
+	for k := a; k <= n; k++ {
+		x, _ := math.Lgamma(float64(k + 1))
+		y, _ := math.Lgamma(float64(n - k + 1))
+		p += math.Exp(top - x - y - ln)
+	}
+	return min(p, 1)
+}
+
+// Streaming takes the start of a streamed answer: the txn is the client's now.
+func (s *Sentry) Streaming(now Nanos, id TxnID, number int) {
+	s.now = now
+	if at, held := s.byID[id]; held {
+		s.slab[at].has = settled
+		s.touch(at)
+	}
+	s.emit()
+}
+
+// Left takes that a client has left.
+func (s *Sentry) Left(now Nanos, id TxnID) {
+	s.now = now
+	if at, held := s.byID[id]; held {
+		s.slab[at].has = settled
+		s.touch(at)
+	}
+	s.emit()
+}
+
+// Timer takes a timer: the beat, or a txn that has waited for long.
+func (s *Sentry) Timer(now Nanos, token uint64) {
+	s.now = now
+	if token == 0 {
+		s.onBeat()
+		s.emit()
+		return
+	}
+	at := int32(token & 0xffffffff)
+	if int(at) >= len(s.slab) || s.slab[at].gen != uint32(token>>32) || s.slab[at].has != unanswered {
+		return
+	}
+	s.refill()
+	if t := &s.slab[at]; t.n == 1 && t.subs[0].out && s.hedges >= 1 {
+		s.hedges--
+		s.place(at)
+	}
+	s.emit()
+}
+
+// onBeat looks after what no event brings up: silent workers, rates, the watch, votes.
+func (s *Sentry) onBeat() {
+	s.refill()
+	s.beatAt = s.now + beat
+	s.rate += (float64(s.taken)/(float64(beat)/float64(Second)) - s.rate) * 0.02
+	s.taken = 0
+	for at := range s.slab {
+		t := &s.slab[at]
+		for i := 0; i < t.n; i++ {
+			sub := &t.subs[i]
+			w := sub.to
+			if sub.out && !w.silent && w.heard < sub.sent &&
+				float64(s.now-sub.sent) > min(quietTimes*s.expected(t)*max(1, w.slow), float64(s.products[t.Product].sla)) {
+				w.silent, w.nextTry = true, s.now+trickle
+			}
+		}
+	}
+	// What a silent worker holds goes out again where a repeat does no harm, whatever keeps it silent.
+	for at := range s.slab {
+		t := &s.slab[at]
+		if t.n == 1 && t.has == unanswered && t.subs[0].out && t.subs[0].to.silent && s.agains >= 1 {
+			s.agains--
+			s.place(int32(at))
+		}
+	}
+	for _, w := range s.order {
+		if !w.silent && w.bad >= restAbove && s.now >= w.nextTry+trickle {
+			w.bad *= 0.98
+		}
+	}
+	s.arrange()
+	if s.wantWatch && !s.watching && s.now >= s.watchAt {
+		s.watchAt = s.now // emit asks
+	}
+	s.judge()
+}
+
+// ---- The build on trial ----
+
+// newTrial starts all counts anew for a newer build.
+func (s *Sentry) newTrial(rel RelID) {
+	s.trial = rel
+	clear(s.metTrial)
+	s.pairs, s.against, s.favour, s.timed, s.slower, s.notSlower, s.stageSeen = 0, 0, 0, 0, 0, 0, 0
+	for i := range s.products {
+		s.products[i].waiting = s.products[i].waiting[:0]
+	}
+	for i := range s.exposure {
+		s.exposure[i] = min(s.exposure[i], 1)
+	}
+}
+
+// News takes what the platform tells of the newest build.
+func (s *Sentry) News(now Nanos, n News) {
+	s.now = now
+	if n.Ending != OK {
+		if n.Answer {
+			s.votedAt = 0
+		}
+		s.emit()
+		return
+	}
+	old := s.capNow()
+	if n.Rel > s.trial {
+		s.newTrial(n.Rel)
+	}
+	if n.Rel != s.news.Rel || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
+		s.stageSeen = 0
+		s.note(fmt.Sprintf("build %d stage %d phase %d cap %.3f", n.Rel, n.Stage, n.Phase, n.Cap))
+	}
+	s.news, s.newsAt = n, now
+	if n.Phase == GoingBack || n.Phase == Withdrawn {
+		clear(s.metTrial)
+	}
+	if s.capNow() < old { // counted anew from a lower cap on
+		for i := range s.exposure {
+			s.exposure[i] = min(s.exposure[i], 0)
+		}
+	}
+	s.arrange()
+	s.emit()
+}
+
+// Tally takes the platform's own count.
+func (s *Sentry) Tally(now Nanos, t Tally) {
+	s.now = now
+	if t.Rel <= s.trial {
+		i := 0
+		if t.Rel == s.trial {
+			i = 1
+		}
+		s.tally[i].many += float64(t.Many)
+		s.tally[i].bad += float64(t.Bad)
+	}
+}
+
+// Contested takes that a client found an answer wrong: the submission erred after all.
+func (s *Sentry) Contested(now Nanos, p ProductID, id WorkerID, age Nanos) {
+	s.now = now
+	w := s.workers[id]
+	if w == nil || w.Start > now-age {
+		return
+	}
+	s.pairs++
+	if w.Rel == s.trial {
+		s.against++
+	} else {
+		s.favour++
+	}
+}
+
+// Told takes a message of another sentry.
+func (s *Sentry) Told(now Nanos, from int, data []byte) { s.now = now }
+
+// judge sets down the vote that is wanted (steps 5 and 6).
+func (s *Sentry) judge() {
+	s.wantVote = NoVote
+	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
+		return
+	}
+	p, slow := signTest(s.against, s.favour), signTest(s.slower, s.notSlower)
+	switch {
+	case s.pairs >= pairFloor && p < backLevel || s.timed >= slowFloor && slow < slowLevel:
+		s.wantVote = Back
+	case s.news.Phase == Released:
+	case s.word("release.votes") == "clocked":
+		if p < holdLevel {
+			s.wantVote = Hold
+		}
+	case s.news.Age+s.now-s.newsAt >= s.span("release.bake", 0) && p > leadLevel && slow > leadLevel/10 &&
+		(s.stageSeen >= 3 || s.news.Age+s.now-s.newsAt > 3*s.span("release.bake", 0)+5*Second):
+		s.wantVote = On
+	}
+	if mode := fmt.Sprintf("vote %d on build %d", s.wantVote, s.trial); s.wantVote != NoVote && mode != s.mode {
+		s.mode = mode
+		s.note(fmt.Sprintf("%s: %d pairs, %d against, %d for, p %.4f; times %d slower, %d not, p %.4f", mode,
+			s.pairs, s.against, s.favour, p, s.slower, s.notSlower, slow))
+	}
+}
+
+func (s *Sentry) note(text string) { s.out.Log(text) }
+
+// ---- From what is wanted to what is done ----
+
+// emit does what is wanted and not yet so.
+func (s *Sentry) emit() {
+	for i := 0; i < len(s.touched); i++ {
+		at := s.touched[i]
+		t := &s.slab[at]
+		t.touched = false
+		if t.has == unanswered && t.want.to != nil {
+			if s.maySend(t, t.want.to) {
+				s.submit(t)
+			}
+			t.want.to = nil
+		}
+		if t.has == unanswered && t.want.answer != unanswered {
+			t.has = t.want.answer
+			if t.has == declined {
+				s.out.Decline(t.ID, s.span("allow.longest-retry-after", 0)/4)
+			} else {
+				s.out.Void(t.ID)
+			}
+		}
+		if t.want.wake > s.now && t.has == unanswered {
+			s.out.Remind(t.want.wake-s.now, uint64(at)|uint64(t.gen)<<32)
+			t.want.wake = 0
+		}
+		out := false
+		for k := 0; k < t.n; k++ {
+			if !t.subs[k].out {
+				continue
+			}
+			out = true
+			if t.has != unanswered && s.flag("allow.cancel") && t.want.answer != settled {
+				s.out.Cancel(t.ID, k)
+			}
+		}
+		if t.has != unanswered {
+			t.want.answer = settled // what was out is called off once
+			if !out {
+				delete(s.byID, t.ID)
+				s.free = append(s.free, at)
+			}
+		}
+	}
+	s.touched = s.touched[:0]
+	if s.wantWatch && !s.watching && s.now >= s.watchAt {
+		s.watching = true
+		s.out.Watch()
+	}
+	if s.wantVote != NoVote && s.now >= s.voteAt {
+		// Chance voting: all sentries together keep to the calls that the platform takes.
+		second := s.now - s.now%Second + Second
+		s.voteAt = second + Nanos(s.rng.Int63n(int64(Second)))
+		if s.rng.Float64() < s.num("release.votes-per-second", 1)/max(1, s.num("sentries", 1)) {
+			s.out.Vote(s.wantVote, s.trial, s.news.Stage)
+			s.votedAt = s.now
+		}
+	}
+	if s.now >= s.beatAt {
+		s.beatAt = s.now + beat
+		s.out.Remind(beat, 0)
+	}
+}
+
+// submit sends t to the worker that is wanted.
+func (s *Sentry) submit(t *txn) {
+	w := t.want.to
+	w.open++
+	if s.ramp(w) < 1 {
+		w.cold--
+	}
+	if s.onTrial(w.Rel) {
+		s.exposure[s.lane(t.Product)]--
+	}
+	t.subs[t.n] = submission{to: w, sent: s.now, rel: w.Rel, out: true, arm: t.want.arm,
+		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge}
+	t.n++
+	s.out.Submit(t.ID, w.ID, 0)
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,406 @@
+// Package wire speaks the line-by-line JSON protocol of the bench and hosts the sentries behind it. It
+// translates words and units and decides nothing.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"strconv"
+
+	"dunegrade/logic"
+)
+
+// instance is one hosted sentry with its own tables of names.
+type instance struct {
+	sentry    *logic.Sentry
+	number    int
+	out       *bytes.Buffer
+	products  map[string]int
+	customers map[string]int
+	zones     map[string]int
+	kinds     map[string]int
+	fields    []string
+	failed    bool
+}
+
+type host struct {
+	now       logic.Nanos
+	out       bytes.Buffer
+	complain  io.Writer
+	pages     map[int][]json.RawMessage
+	ids       map[string]logic.WorkerID
+	instances map[int]*instance
+}
+
+// Serve reads batches from in and answers each on out until in ends; complaints go to errs.
+func Serve(in io.Reader, out, errs io.Writer) error {
+	h := &host{complain: errs, pages: map[int][]json.RawMessage{}, ids: map[string]logic.WorkerID{},
+		instances: map[int]*instance{}}
+	r := bufio.NewReaderSize(in, 1<<20)
+	for {
+		line, err := r.ReadBytes('\n')
+		if line = bytes.TrimSpace(line); len(line) > 0 {
+			if end, lineErr := h.line(line); lineErr != nil {
+				fmt.Fprintf(errs, "wirehost: %v in line %.200s\n", lineErr, line)
+			} else if end {
+				h.out.WriteString("[\"done\"]\n")
+				if _, err := out.Write(h.out.Bytes()); err != nil {
+					return err
+				}
+				h.out.Reset()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// row is a message's values; its readers record the first fault.
+type row struct {
+	v     []json.RawMessage
+	fault error
+}
+
+func (r *row) get(i int, what string, into any, must bool) {
+	if r.fault != nil {
+		return
+	}
+	if i >= len(r.v) || string(r.v[i]) == "null" {
+		if must {
+			r.fault = fmt.Errorf("%s is missing", what)
+		}
+		return
+	}
+	if err := json.Unmarshal(r.v[i], into); err != nil {
+		r.fault = fmt.Errorf("%s has a wrong value %.40s", what, r.v[i])
+	}
+}
+
+func (r *row) num(i int, what string) (n int64) { r.get(i, what, &n, true); return n }
+func (r *row) opt(i int, what string) (n int64) { r.get(i, what, &n, false); return n }
+func (r *row) text(i int, what string) (s string) {
+	r.get(i, what, &s, true)
+	return s
+}
+func (r *row) optText(i int, what string) (s string) { r.get(i, what, &s, false); return s }
+func (r *row) time(i int, what string) logic.Nanos   { return logic.Nanos(r.num(i, what) * 1000) }
+
+func (r *row) txn(i int) logic.TxnID {
+	s := r.text(i, "opId")
+	n, err := strconv.ParseUint(s, 16, 64)
+	if r.fault == nil && (err != nil || s != fmt.Sprintf("%016x", n)) {
+		r.fault = fmt.Errorf("opId %q is not 16 hex digits", s)
+	}
+	return logic.TxnID(n)
+}
+
+func (r *row) ending(i int) logic.Ending {
+	n := int(r.num(i, "ending"))
+	e, ok := endings[n]
+	if r.fault == nil && !ok {
+		r.fault = fmt.Errorf("ending %d is unknown", n)
+	}
+	return e
+}
+
+// lookup turns a name into a number by a table, or records a fault.
+func lookup[V any](r *row, table map[string]V, name, what string) V {
+	v, ok := table[name]
+	if r.fault == nil && !ok {
+		r.fault = fmt.Errorf("%s %q is unknown", what, name)
+	}
+	return v
+}
+
+func (h *host) line(line []byte) (end bool, err error) {
+	r := row{}
+	if err := json.Unmarshal(line, &r.v); err != nil {
+		return false, fmt.Errorf("not a JSON array: %w", err)
+	}
+	name := r.text(0, "message name")
+	switch name {
+	case "mark":
+		if t := r.time(1, "clock"); r.fault == nil {
+			h.now = t
+		}
+		return false, r.fault
+	case "eofBatch":
+		return true, nil
+	case "census":
+		page := int(r.num(1, "page"))
+		var hosts []json.RawMessage
+		r.get(2, "hosts", &hosts, true)
+		if r.fault == nil {
+			h.pages[page] = hosts
+		}
+		return false, r.fault
+	}
+	number := int(r.num(1, "sentry"))
+	if r.fault != nil {
+		return false, r.fault
+	}
+	if name == "init" {
+		return false, h.start(&r, number)
+	}
+	in := h.instances[number]
+	if in == nil {
+		return false, fmt.Errorf("%s for unknown sentry %d", name, number)
+	}
+	if name == "teardown" {
+		delete(h.instances, number)
+		return false, nil
+	}
+	if in.failed {
+		return false, nil
+	}
+	call, err := h.decode(in, name, &r)
+	if err != nil {
+		return false, err
+	}
+	in.guard(call)
+	return false, nil
+}
+
+// guard turns a panic of the decision module into the fault action.
+func (in *instance) guard(call func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			in.failed = true
+			in.act("die", jsonText(fmt.Sprint(p)))
+		}
+	}()
+	call()
+}
+
+func (h *host) start(r *row, number int) error {
+	seed := r.num(2, "initSeed")
+	var params map[string]any
+	r.get(3, "params", &params, true)
+	if r.fault != nil {
+		return r.fault
+	}
+	settings := map[string]any{}
+	flatten(settings, "", "", params)
+	in := &instance{number: number, out: &h.out, products: names(params["classes"], 0),
+		customers: names(params["realms"], 1), zones: names(params["localities"], 0),
+		kinds: names(params["skus"], 0)}
+	if rep, ok := params["report"].(map[string]any); ok {
+		if fields, ok := rep["fields"].([]any); ok {
+			for _, f := range fields {
+				s, _ := f.(string)
+				in.fields = append(in.fields, s)
+			}
+		}
+	}
+	if zone, ok := params["locality"].(string); ok {
+		if n, known := in.zones[zone]; known {
+			settings["zone"] = float64(n)
+		}
+	}
+	h.instances[number] = in
+	in.guard(func() { in.sentry = logic.New(h.now, seed, settings, in) })
+	return nil
+}
+
+// names numbers the names of a list of texts or of objects with a name.
+func names(list any, from int) map[string]int {
+	m := map[string]int{}
+	entries, _ := list.([]any)
+	for i, e := range entries {
+		if o, ok := e.(map[string]any); ok {
+			e = o["name"]
+		}
+		if s, ok := e.(string); ok {
+			m[s] = i + from
+		}
+	}
+	return m
+}
+
+func (h *host) decode(in *instance, name string, r *row) (func(), error) {
+	now, s := h.now, in.sentry
+	var call func()
+	switch name {
+	case "peersKnown":
+		mode := lookup(r, modes, r.text(3, "mode"), "mode")
+		var list []logic.Worker
+		if r.fault == nil && mode != logic.NoList {
+			page, ok := h.pages[int(r.num(2, "page"))]
+			if !ok {
+				return nil, fmt.Errorf("page %s was never sent", r.v[2])
+			}
+			for _, e := range page {
+				list = append(list, h.worker(in, r, e))
+			}
+		}
+		call = func() { s.List(now, mode, list) }
+	case "knock":
+		t := logic.Txn{ID: r.txn(2)}
+		var org any
+		r.get(3, "org", &org, false)
+		if o, ok := org.(string); ok && r.fault == nil {
+			t.Customer = logic.CustomerID(lookup(r, in.customers, o, "org"))
+		}
+		t.Product = logic.ProductID(lookup(r, in.products, r.text(4, "class"), "class"))
+		marks := r.opt(5, "marks")
+		if key := r.optText(6, "resource"); key != "" {
+			f := fnv.New64a()
+			io.WriteString(f, key)
+			t.Key = logic.KeyID(f.Sum64() | 1)
+		}
+		if marks&1 != 0 {
+			t.Cost = logic.Nanos(r.opt(7, "effort") * 1000)
+		}
+		t.Repeat = marks&2 != 0
+		t.Expiry = r.time(8, "expires")
+		call = func() { s.Take(now, t) }
+	case "completed":
+		o := logic.Outcome{Txn: r.txn(2), Number: int(r.num(3, "copy")), Ending: r.ending(5), Elapsed: r.time(6, "costTime")}
+		r.get(7, "ended", &o.Over, false)
+		o.Load = in.load(r, 8)
+		call = func() { s.Outcome(now, o) }
+	case "flowing":
+		t, n := r.txn(2), int(r.num(3, "copy"))
+		call = func() { s.Streaming(now, t, n) }
+	case "dropped":
+		t := r.txn(2)
+		call = func() { s.Left(now, t) }
+	case "timer":
+		token := uint64(r.num(2, "keyBack"))
+		call = func() { s.Timer(now, token) }
+	case "echo":
+		r.text(2, "worker")
+		call = func() {} // the module sends no probes
+	case "whisper":
+		from := int(r.num(2, "originPeer"))
+		data, err := base64.StdEncoding.DecodeString(r.optText(3, "data"))
+		if r.fault == nil && err != nil {
+			r.fault = fmt.Errorf("data is not base64: %w", err)
+		}
+		call = func() { s.Told(now, from, data) }
+	case "trialNews":
+		n := logic.News{Ending: r.ending(8)}
+		n.Stage, n.Answer = int(r.opt(2, "stage")), r.opt(3, "mark") == 1
+		n.Rel = logic.RelID(r.opt(4, "edition"))
+		r.get(5, "cap", &n.Cap, false)
+		n.Phase = logic.Phase(r.opt(6, "phase"))
+		n.Age = logic.Nanos(r.opt(7, "old") * 1000)
+		call = func() { s.News(now, n) }
+	case "countsByBuild":
+		t := logic.Tally{Rel: logic.RelID(r.num(2, "edition")), Many: int(r.num(3, "many")), Bad: int(r.num(4, "bad"))}
+		t.Product = logic.ProductID(lookup(r, in.products, r.text(6, "class"), "class"))
+		t.Mean = logic.Nanos(r.opt(7, "costTime") * 1000)
+		call = func() { s.Tally(now, t) }
+	case "contested":
+		p := logic.ProductID(lookup(r, in.products, r.text(2, "class"), "class"))
+		w := h.workerID(r.text(3, "worker"))
+		age := r.time(4, "old")
+		call = func() { s.Contested(now, p, w, age) }
+	default:
+		return nil, fmt.Errorf("message %q is unknown", name)
+	}
+	return call, r.fault
+}
+
+func (h *host) workerID(s string) logic.WorkerID {
+	id, ok := h.ids[s]
+	if !ok {
+		id = logic.WorkerID(s)
+		h.ids[s] = id
+	}
+	return id
+}
+
+func (h *host) worker(in *instance, r *row, entry json.RawMessage) logic.Worker {
+	e := row{}
+	if err := json.Unmarshal(entry, &e.v); err != nil {
+		e.fault = fmt.Errorf("a census entry is not an array: %w", err)
+	}
+	w := logic.Worker{ID: h.workerID(e.text(0, "worker")), Weight: 1}
+	w.Zone = logic.ZoneID(lookup(&e, in.zones, e.text(1, "hall"), "hall"))
+	w.Kind = logic.KindID(in.kinds[e.optText(2, "machine")])
+	w.Cell = int(e.opt(3, "block"))
+	w.State = lookup(&e, states, e.text(4, "readiness"), "readiness")
+	e.get(5, "rating", &w.Weight, false)
+	var ver float64
+	e.get(6, "ver", &ver, false)
+	w.Rel = logic.RelID(ver)
+	w.Start = logic.Nanos(e.opt(7, "lastStart") * 1000)
+	if r.fault == nil {
+		r.fault = e.fault
+	}
+	return w
+}
+
+func (in *instance) load(r *row, i int) *logic.Load {
+	var v []float64
+	r.get(i, "feedback", &v, false)
+	if v == nil {
+		return nil
+	}
+	l := &logic.Load{Util: -1, Queue: -1, Busy: -1}
+	for k, f := range in.fields {
+		if k >= len(v) {
+			break
+		}
+		switch f {
+		case "cpu_share":
+			l.Util = v[k]
+		case "pending":
+			l.Queue = v[k]
+		case "busy_reqs":
+			l.Busy = v[k]
+		}
+	}
+	return l
+}
+
+func jsonText(s string) string { b, _ := json.Marshal(s); return string(b) }
+
+// act writes one action line; the values are JSON already.
+func (in *instance) act(name string, values ...string) {
+	fmt.Fprintf(in.out, "[%q,%d", name, in.number)
+	for _, v := range values {
+		in.out.WriteByte(',')
+		in.out.WriteString(v)
+	}
+	in.out.WriteString("]\n")
+}
+
+func txnText(t logic.TxnID) string   { return fmt.Sprintf("\"%016x\"", uint64(t)) }
+func timeText(n logic.Nanos) string  { return strconv.FormatInt(int64(n/1000), 10) }
+func numText[T ~int](n T) string     { return strconv.Itoa(int(n)) }
+func idText(w logic.WorkerID) string { return jsonText(string(w)) }
+
+// Submit and the methods below write the module's actions.
+func (in *instance) Submit(t logic.TxnID, w logic.WorkerID, timeout logic.Nanos) {
+	in.act("issue", txnText(t), timeText(timeout), idText(w))
+}
+func (in *instance) Cancel(t logic.TxnID, number int) {
+	in.act("abortAttempt", txnText(t), numText(number))
+}
+func (in *instance) Decline(t logic.TxnID, retryAfter logic.Nanos) {
+	in.act("refuse", txnText(t), timeText(retryAfter))
+}
+func (in *instance) Void(t logic.TxnID) { in.act("reportFailure", txnText(t)) }
+func (in *instance) Remind(after logic.Nanos, token uint64) {
+	in.act("remind", timeText(after), strconv.FormatUint(token, 10))
+}
+func (in *instance) Vote(v logic.Verdict, rel logic.RelID, stage int) {
+	in.act("vote", numText(v), numText(rel), numText(stage))
+}
+func (in *instance) Watch() { in.act("watch", "true") }
+func (in *instance) Tell(data []byte) {
+	in.act("broadcastTo", `"all"`, jsonText(base64.StdEncoding.EncodeToString(data)))
+}
+func (in *instance) Log(text string) { in.act("trace", jsonText(text)) }
