Let bound keys go on after a release and limit what each worker holds

Cause: a key that met a build had nowhere to go once the build was released; and each txn asked every full worker in turn. The limit follows how soon answers come (lowered on late or full ones), so what could only be late is declined early; it should also catch slow workers and hidden load of other sentries, and could harm where one slow product lowers it for the others.

--- /dev/null
+++ b/logic/helper.go
@@ -0,0 +1,34 @@
+package logic
+
+import (
+	"math"
+	"sort"
+)
+
+// signTest is the chance that a fair coin gives at least a of a+b.
+func signTest(a, b int) float64 {
+	n := a + b
+	if n == 0 {
+		return 1
+	}
+	p, ln := 0.0, float64(n)*math.Ln2
+	top, _ := math.Lgamma(float64(n + 1))
+	for k := a; k <= n; k++ {
+		x, _ := math.Lgamma(float64(k + 1))
+		y, _ := math.Lgamma(float64(n - k + 1))
+		p += math.Exp(top - x - y - ln)
+	}
+	return min(p, 1)
+}
+
+// enter puts a worker into the map and, by its id, into the order; it takes the place of one with its id.
+func (s *Sentry) enter(w *worker) {
+	_, known := s.workers[w.ID]
+	s.workers[w.ID] = w
+	at := sort.Search(len(s.order), func(i int) bool { return s.order[i].ID >= w.ID })
+	if !known {
+		s.order = append(s.order, nil)
+		copy(s.order[at+1:], s.order[at:])
+	}
+	s.order[at] = w
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,7 @@
 // workers are trusted, and how the sentry votes on a new build.
 //
 // How it is called: the host makes a Sentry with New and hands it each event by the method named for it
-// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming, Told), each with the clock. Those
+// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming), each with the clock. Those
 // set down what is wanted; emit, at the end of each, turns the difference to what is into actions on the
 // Sink. Ids, events and the Sink are in types.go. docs/design.md tells what follows the paper and why.
 package logic
@@ -35,141 +35,10 @@
 	coldUsed   = 0.55             // part of the cold budget that is used
 	crossTimes = 15.0             // a crossing counts as this many times its price in waiting
 	ownBurst   = 100 * Millisecond
+	leastOpen  = 2.0 // txns that a worker may hold of this sentry, whatever it showed
+	firstOpen  = 8.0 // and may hold before it showed anything
 )
 
-type arm uint8
-
-const (
-	noArm arm = iota
-	trialArm
-	baseArm
-)
-
-type answer uint8
-
-const (
-	unanswered answer = iota
-	declined
-	voided
-	settled // or left by its client
-)
-
-type product struct {
-	sla, memory  Nanos
-	inquiry, ref bool
-	anywhere     bool // a repeat is dropped by all workers
-	byZone       bool
-	revenue      float64
-	typical      float64 // smoothed time of settled submissions, over the expected work where that is told
-	toTrial      bool    // the toggle: the next pair txn goes to the trial
-	waiting      []showing
-}
-
-// showing is what one side of a pair showed.
-type showing struct {
-	good   bool
-	times  float64 // its time over the typical one
-	worker *worker
-}
-
-type worker struct {
-	Worker
-	open      int
-	slow, bad float64 // smoothed: time over the typical one, share of faults
-	queue     float64
-	heard     Nanos
-	nextTry   Nanos
-	counted   Nanos
-	against   int // discordant pairs that it lost for the trial
-	silent    bool
-	cold      float64 // submissions that a cold worker may still get
-	coldAt    Nanos
-}
-
-type submission struct {
-	to       *worker
-	sent     Nanos
-	rel      RelID
-	out, ran bool // ran: it may have run
-	arm      arm
-	tells    bool // its outcome is evidence
-}
-
-// txn is a txn in hand: what is wanted for it, and what it has.
-type txn struct {
-	Txn
-	gen  uint32
-	subs [8]submission
-	n    int
-	has  answer
-	want struct {
-		to     *worker
-		arm    arm
-		answer answer
-		wake   Nanos
-	}
-	touched bool
-}
-
-// Sentry is one instance of the module.
-type Sentry struct {
-	set map[string]any
-	rng *rand.Rand
-	out Sink
-	now Nanos
-
-	products []product
-	byID     map[TxnID]int32
-	slab     []txn
-	free     []int32
-	touched  []int32
-
-	workers             map[WorkerID]*worker
-	order               []*worker // by id
-	trials, bases, rest []*worker
-	tiltTrial, tiltBase float64 // what each side of the pair is to get, of all txns
-	credit              float64
-	creditTrial         float64
-	creditBase          float64
-	turn                int
-	fleet               float64 // workers that usually carry the load
-	rate                float64 // txns a second
-	taken               int
-	hedges, agains      float64 // further submissions left
-
-	news      News
-	newsAt    Nanos
-	trial     RelID // the newest build known
-	exposure  []float64
-	refilled  Nanos
-	metTrial  map[KeyID]struct{}
-	stageSeen int
-
-	pairs, against, favour   int
-	timed, slower, notSlower int
-	tally                    [2]struct{ many, bad float64 } // of earlier builds, of the trial
-
-	wantVote            Verdict
-	voteAt, votedAt     Nanos
-	wantWatch, watching bool
-	watchAt, watchGap   Nanos
-	beatAt              Nanos
-	mode                string
-}
-
-func (s *Sentry) num(name string, otherwise float64) float64 {
-	if v, ok := s.set[name].(float64); ok {
-		return v
-	}
-	return otherwise
-}
-
-func (s *Sentry) span(name string, otherwise Nanos) Nanos {
-	return Nanos(s.num(name, float64(otherwise)))
-}
-func (s *Sentry) flag(name string) bool   { v, _ := s.set[name].(bool); return v }
-func (s *Sentry) word(name string) string { v, _ := s.set[name].(string); return v }
-
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
@@ -217,17 +86,8 @@
 		w := s.workers[l.ID]
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
-			fresh := &worker{Worker: l, slow: 1, coldAt: now, cold: 1}
-			if w != nil {
-				fresh.open = w.open
-				s.drop(w)
-			}
-			w = fresh
-			s.workers[l.ID] = w
-			at := sort.Search(len(s.order), func(i int) bool { return s.order[i].ID >= l.ID })
-			s.order = append(s.order, nil)
-			copy(s.order[at+1:], s.order[at:])
-			s.order[at] = w
+			w = &worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: 1}
+			s.enter(w)
 		}
 		w.Worker = l
 		if l.Rel > s.trial {
@@ -238,16 +98,6 @@
 	s.emit()
 }
 
-// drop takes a worker off the order; the map is the caller's.
-func (s *Sentry) drop(w *worker) {
-	for i, o := range s.order {
-		if o == w {
-			s.order = append(s.order[:i], s.order[i+1:]...)
-			return
-		}
-	}
-}
-
 // ramp is the part of its capacity that a worker may have by now.
 func (s *Sentry) ramp(w *worker) float64 {
 	cold := s.span("rules.cold", 0)
@@ -493,9 +343,8 @@
 // choose picks the worker for t: by the pair's weighted round robin, toggle and rotation (steps 1 to 3) for a
 // first submission, else, and where the pair does not want it, the worker that should answer soonest.
 func (s *Sentry) choose(t *txn) (*worker, arm) {
-	if s.bound(t) {
-		w := s.rotate(s.trials, t)
-		return w, noArm
+	if s.bound(t) && len(s.trials) > 0 {
+		return s.rotate(s.trials, t), noArm
 	}
 	if t.n == 0 && len(s.trials) > 0 && (len(s.bases) == 0 || s.pairTakes(t)) {
 		s.credit += s.tiltTrial + s.tiltBase
@@ -547,7 +396,7 @@
 	for _, anyZone := range []bool{s.num("price.cross-zone", 0) == 0, true} {
 		for i := range side {
 			w := side[(s.turn+i)%len(side)]
-			if (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.maySend(t, w) && !t.tried(w) {
+			if s.room(w, t) && (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.maySend(t, w) && !t.tried(w) {
 				return w
 			}
 		}
@@ -555,6 +404,16 @@
 	return nil
 }
 
+// room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
+// that what could only be late is declined early, whatever the lack comes from; repeats get less of it.
+func (s *Sentry) room(w *worker, t *txn) bool {
+	limit := w.limit
+	if t.n > 0 {
+		limit *= 0.8
+	}
+	return float64(w.open) < limit
+}
+
 func (t *txn) tried(w *worker) bool {
 	for i := 0; i < t.n; i++ {
 		if t.subs[i].to == w {
@@ -569,7 +428,7 @@
 	var best *worker
 	least := math.Inf(1)
 	for _, w := range from {
-		if !s.maySend(t, w) {
+		if !s.maySend(t, w) || !s.room(w, t) {
 			continue
 		}
 		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad)
@@ -620,8 +479,8 @@
 		s.metTrial[t.Key] = struct{}{}
 	}
 	if t.has == unanswered {
-		again := o.Ending == Full || o.Ending == ConnectFailed || s.agains >= 1
-		if now < t.Expiry && again && o.Ending != Cancelled {
+		// Danger: workers that turn away all that comes would be asked by each txn in turn, and drown.
+		if now < t.Expiry && s.agains >= 1 && o.Ending != Cancelled {
 			s.agains--
 			s.place(at)
 		} else {
@@ -658,6 +517,11 @@
 	case OK:
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
+		if o.Elapsed > p.sla*2/3 {
+			w.limit = max(leastOpen, w.limit*0.93)
+		} else if float64(w.open) >= w.limit/2 {
+			w.limit += 1 / w.limit
+		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
 		unit := float64(o.Elapsed)
 		if t.Cost > 0 {
@@ -667,12 +531,18 @@
 			}
 		}
 		p.typical += 0.01 * (min(unit, 4*p.typical) - p.typical)
-	case Erred, Full:
+	case Full:
+		w.heard, w.silent = s.now, false
+		w.limit = max(leastOpen, w.limit*0.8)
+	case Erred:
 		w.heard, w.silent = s.now, false
 		w.bad += 0.15 * (1 - w.bad)
 	case Broken, ConnectFailed:
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
+		if o.Elapsed > p.sla {
+			w.limit = max(leastOpen, w.limit*0.93)
+		}
 		w.slow = max(w.slow, w.slow+0.15*(min(times, 20)-w.slow))
 	case Moot:
 		return
@@ -726,27 +596,11 @@
 	}
 }
 
-// signTest is the chance that a fair coin gives at least a of a+b.
-func signTest(a, b int) float64 {
-	n := a + b
-	if n == 0 {
-		return 1
-	}
-	p, ln := 0.0, float64(n)*math.Ln2
-	top, _ := math.Lgamma(float64(n + 1))
-	for k := a; k <= n; k++ {
-		x, _ := math.Lgamma(float64(k + 1))
-		y, _ := math.Lgamma(float64(n - k + 1))
-		p += math.Exp(top - x - y - ln)
-	}
-	return min(p, 1)
-}
-
 // Streaming takes the start of a streamed answer: the txn is the client's now.
 func (s *Sentry) Streaming(now Nanos, id TxnID, number int) {
 	s.now = now
-	if at, held := s.byID[id]; held {
-		s.slab[at].has = settled
+	if at, held := s.byID[id]; held && number >= 0 && number < s.slab[at].n {
+		s.slab[at].has, s.slab[at].stream = settled, number+1
 		s.touch(at)
 	}
 	s.emit()
@@ -893,9 +747,6 @@
 	}
 }
 
-// Told takes a message of another sentry.
-func (s *Sentry) Told(now Nanos, from int, data []byte) { s.now = now }
-
 // judge sets down the vote that is wanted (steps 5 and 6).
 func (s *Sentry) judge() {
 	s.wantVote = NoVote
@@ -956,7 +807,7 @@
 				continue
 			}
 			out = true
-			if t.has != unanswered && s.flag("allow.cancel") && t.want.answer != settled {
+			if t.has != unanswered && s.flag("allow.cancel") && t.want.answer != settled && t.stream != k+1 {
 				s.out.Cancel(t.ID, k)
 			}
 		}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,140 @@
+package logic
+
+import "math/rand"
+
+// What a sentry keeps. Nothing is decided here.
+
+type arm uint8
+
+const (
+	noArm arm = iota
+	trialArm
+	baseArm
+)
+
+type answer uint8
+
+const (
+	unanswered answer = iota
+	declined
+	voided
+	settled // or left by its client
+)
+
+type product struct {
+	sla, memory  Nanos
+	inquiry, ref bool
+	anywhere     bool // a repeat is dropped by all workers
+	byZone       bool
+	revenue      float64
+	typical      float64 // smoothed time of settled submissions, over the expected work where that is told
+	toTrial      bool    // the toggle: the next pair txn goes to the trial
+	waiting      []showing
+}
+
+// showing is what one side of a pair showed.
+type showing struct {
+	good   bool
+	times  float64 // its time over the typical one
+	worker *worker
+}
+
+type worker struct {
+	Worker
+	open      int
+	slow, bad float64 // smoothed: time over the typical one, share of faults
+	queue     float64
+	limit     float64 // txns that it may hold of this sentry
+	heard     Nanos
+	nextTry   Nanos
+	counted   Nanos
+	against   int // discordant pairs that it lost for the trial
+	silent    bool
+	cold      float64 // submissions that a cold worker may still get
+	coldAt    Nanos
+}
+
+type submission struct {
+	to       *worker
+	sent     Nanos
+	rel      RelID
+	out, ran bool // ran: it may have run
+	arm      arm
+	tells    bool // its outcome is evidence
+}
+
+// txn is a txn in hand: what is wanted for it, and what it has.
+type txn struct {
+	Txn
+	gen    uint32
+	subs   [8]submission
+	n      int
+	has    answer
+	stream int // number of the submission that streams, plus one
+	want   struct {
+		to     *worker
+		arm    arm
+		answer answer
+		wake   Nanos
+	}
+	touched bool
+}
+
+// Sentry is one instance of the module.
+type Sentry struct {
+	set map[string]any
+	rng *rand.Rand
+	out Sink
+	now Nanos
+
+	products []product
+	byID     map[TxnID]int32
+	slab     []txn
+	free     []int32
+	touched  []int32
+
+	workers             map[WorkerID]*worker
+	order               []*worker // by id
+	trials, bases, rest []*worker
+	tiltTrial, tiltBase float64 // what each side of the pair is to get, of all txns
+	credit              float64
+	creditTrial         float64
+	creditBase          float64
+	turn                int
+	fleet               float64 // workers that usually carry the load
+	rate                float64 // txns a second
+	taken               int
+	hedges, agains      float64 // further submissions left
+
+	news      News
+	newsAt    Nanos
+	trial     RelID // the newest build known
+	exposure  []float64
+	refilled  Nanos
+	metTrial  map[KeyID]struct{}
+	stageSeen int
+
+	pairs, against, favour   int
+	timed, slower, notSlower int
+	tally                    [2]struct{ many, bad float64 } // of earlier builds, of the trial
+
+	wantVote            Verdict
+	voteAt, votedAt     Nanos
+	wantWatch, watching bool
+	watchAt, watchGap   Nanos
+	beatAt              Nanos
+	mode                string
+}
+
+func (s *Sentry) num(name string, otherwise float64) float64 {
+	if v, ok := s.set[name].(float64); ok {
+		return v
+	}
+	return otherwise
+}
+
+func (s *Sentry) span(name string, otherwise Nanos) Nanos {
+	return Nanos(s.num(name, float64(otherwise)))
+}
+func (s *Sentry) flag(name string) bool   { v, _ := s.set[name].(bool); return v }
+func (s *Sentry) word(name string) string { v, _ := s.set[name].(string); return v }
--- a/logic/types.go
+++ b/logic/types.go
@@ -149,6 +149,5 @@
 	Remind(after Nanos, token uint64)
 	Vote(v Verdict, rel RelID, stage int)
 	Watch()
-	Tell(data []byte) // to all other sentries
 	Log(text string)
 }
