--- a/logic/helper.go
+++ b/logic/helper.go
@@ -32,3 +32,17 @@
 	}
 	s.order[at] = w
 }
+
+// spread sums up values for their mean and variance.
+type spread struct {
+	n, sum, square float64
+	workers        int
+}
+
+func (v *spread) add(o spread, times float64) {
+	v.n += times * o.n
+	v.sum += times * o.sum
+	v.square += times * o.square
+}
+
+func (v *spread) variance() float64 { return max(0, v.square/v.n-v.sum*v.sum/(v.n*v.n)) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,9 +23,12 @@
 	backLevel  = 0.01             // of the sign test of failures
 	holdLevel  = 0.10             // of the same test, under a clock
 	leadLevel  = 0.25             // a lead at this level stops 'on'
-	slowerBy   = 1.4              // the trial side of a pair is slower when it takes this many times as long
-	slowFloor  = 30               // pairs before times count
-	slowLevel  = 0.002            // of the sign test of times
+	slowerBy   = 1.25             // a build this many times slower, at the most, is no worse
+	slowFloor  = 10.0             // trial times before they count
+	slowBack   = 2.6              // standard errors by which the trial is slower still: 'back'
+	slowStop   = 1.0              // and no 'on'
+	stakes     = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
+	timeKept   = 0.996            // of the times seen, from beat to beat
 	quietTimes = 5.0              // typical times without a word after which a worker is silent
 	hedgeTimes = 3.0              // typical times after which a second copy goes out
 	hedgeShare = 0.06             // second copies a txn
@@ -143,7 +146,7 @@
 		s.rest = append(s.rest, w)
 	}
 	s.fleet = max(s.fleet*0.995, float64(up))
-	s.tiltTrial, s.tiltBase, s.stageSeen = 0, 0, max(s.stageSeen, 0)
+	s.tiltTrial, s.tiltBase = 0, 0
 	if len(s.trials) == 0 || all <= 0 {
 		return
 	}
@@ -547,6 +550,12 @@
 	case Moot:
 		return
 	}
+	if sub.tells && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
+		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
+		w.times.n++
+		w.times.sum += v
+		w.times.square += v * v
+	}
 	if sub.arm == noArm || !sub.tells || sub.rel != s.trial && sub.arm == trialArm || w.silent {
 		return
 	}
@@ -554,9 +563,9 @@
 	if o.Ending == ConnectFailed || o.Ending == Cancelled && o.Elapsed <= 2*p.sla {
 		return
 	}
-	show := showing{good, times, w}
+	show := showing{good, w}
 	if sub.arm == trialArm {
-		s.stageSeen++
+		s.seen++
 		if len(p.waiting) < 64 {
 			p.waiting = append(p.waiting, show)
 		}
@@ -586,13 +595,6 @@
 		} else {
 			s.against++
 		}
-	} else if trial.good {
-		s.timed++
-		if trial.times > slowerBy*base.times {
-			s.slower++
-		} else if trial.times < slowerBy*base.times {
-			s.notSlower++
-		}
 	}
 }
 
@@ -662,6 +664,9 @@
 		}
 	}
 	for _, w := range s.order {
+		w.times.n *= timeKept
+		w.times.sum *= timeKept
+		w.times.square *= timeKept
 		if !w.silent && w.bad >= restAbove && s.now >= w.nextTry+trickle {
 			w.bad *= 0.98
 		}
@@ -679,7 +684,10 @@
 func (s *Sentry) newTrial(rel RelID) {
 	s.trial = rel
 	clear(s.metTrial)
-	s.pairs, s.against, s.favour, s.timed, s.slower, s.notSlower, s.stageSeen = 0, 0, 0, 0, 0, 0, 0
+	s.pairs, s.against, s.favour, s.seen = 0, 0, 0, 0
+	for _, w := range s.order {
+		w.against = 0
+	}
 	for i := range s.products {
 		s.products[i].waiting = s.products[i].waiting[:0]
 	}
@@ -703,7 +711,6 @@
 		s.newTrial(n.Rel)
 	}
 	if n.Rel != s.news.Rel || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
-		s.stageSeen = 0
 		s.note(fmt.Sprintf("build %d stage %d phase %d cap %.3f", n.Rel, n.Stage, n.Phase, n.Cap))
 	}
 	s.news, s.newsAt = n, now
@@ -753,24 +760,71 @@
 	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
 		return
 	}
-	p, slow := signTest(s.against, s.favour), signTest(s.slower, s.notSlower)
+	// Danger: one bad machine on either side passes for the build. Where a side has several, the worst one is
+	// left out: of the baseline always, of the trial for a second look at a laxer level.
+	worstTrial, worstBase, trials, bases := 0, 0, 0, 0
+	for _, w := range s.order {
+		if w.Rel == s.trial {
+			worstTrial, trials = max(worstTrial, w.against), trials+1
+		} else {
+			worstBase, bases = max(worstBase, w.against), bases+1
+		}
+	}
+	if trials < 3 {
+		worstTrial = 0
+	}
+	if bases < 3 {
+		worstBase = 0
+	}
+	p := signTest(s.against, s.favour-worstBase)
+	spread := signTest(s.against-worstTrial, s.favour-worstBase)
+	slow := s.slowness()
+	age := s.news.Age + s.now - s.newsAt
+	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
+	enough := s.seen >= stakes*next || age > 3*s.span("release.bake", 0)+5*Second
 	switch {
-	case s.pairs >= pairFloor && p < backLevel || s.timed >= slowFloor && slow < slowLevel:
+	case s.pairs >= pairFloor && p < backLevel && spread < 10*backLevel || slow > slowBack:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case s.news.Age+s.now-s.newsAt >= s.span("release.bake", 0) && p > leadLevel && slow > leadLevel/10 &&
-		(s.stageSeen >= 3 || s.news.Age+s.now-s.newsAt > 3*s.span("release.bake", 0)+5*Second):
+	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough:
 		s.wantVote = On
 	}
-	if mode := fmt.Sprintf("vote %d on build %d", s.wantVote, s.trial); s.wantVote != NoVote && mode != s.mode {
+	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
-		s.note(fmt.Sprintf("%s: %d pairs, %d against, %d for, p %.4f; times %d slower, %d not, p %.4f", mode,
-			s.pairs, s.against, s.favour, p, s.slower, s.notSlower, slow))
+		s.note(fmt.Sprintf("vote %d on build %d: %d pairs, %d against, %d for, p %.4f, spread %.4f; slower by %.1f",
+			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow))
+	}
+}
+
+// slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
+// builds, on a log scale. Each side leaves out its slowest worker where it has several.
+func (s *Sentry) slowness() float64 {
+	var side [2]spread
+	for i := range side {
+		var worst *worker
+		for _, w := range s.order {
+			if (w.Rel == s.trial) != (i == 0) || w.times.n < 1 {
+				continue
+			}
+			side[i].add(w.times, 1)
+			side[i].workers++
+			if worst == nil || w.times.sum/w.times.n > worst.times.sum/worst.times.n {
+				worst = w
+			}
+		}
+		if side[i].workers >= 3 {
+			side[i].add(worst.times, -1)
+		}
+	}
+	if side[0].n < slowFloor || side[1].n < slowFloor {
+		return 0
 	}
+	error := math.Sqrt(side[0].variance()/side[0].n + side[1].variance()/side[1].n)
+	return (side[0].sum/side[0].n - side[1].sum/side[1].n - math.Log(slowerBy)) / max(error, 0.01)
 }
 
 func (s *Sentry) note(text string) { s.out.Log(text) }
--- a/logic/state.go
+++ b/logic/state.go
@@ -35,7 +35,6 @@
 // showing is what one side of a pair showed.
 type showing struct {
 	good   bool
-	times  float64 // its time over the typical one
 	worker *worker
 }
 
@@ -50,6 +49,7 @@
 	counted   Nanos
 	against   int // discordant pairs that it lost for the trial
 	silent    bool
+	times     spread  // logs of times over the typical one, of late
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
 }
@@ -106,24 +106,23 @@
 	taken               int
 	hedges, agains      float64 // further submissions left
 
-	news      News
-	newsAt    Nanos
-	trial     RelID // the newest build known
-	exposure  []float64
-	refilled  Nanos
-	metTrial  map[KeyID]struct{}
-	stageSeen int
+	news     News
+	newsAt   Nanos
+	trial    RelID // the newest build known
+	exposure []float64
+	refilled Nanos
+	metTrial map[KeyID]struct{}
 
-	pairs, against, favour   int
-	timed, slower, notSlower int
-	tally                    [2]struct{ many, bad float64 } // of earlier builds, of the trial
+	pairs, against, favour int
+	seen                   float64                        // trial outcomes
+	tally                  [2]struct{ many, bad float64 } // of earlier builds, of the trial
 
 	wantVote            Verdict
 	voteAt, votedAt     Nanos
 	wantWatch, watching bool
 	watchAt, watchGap   Nanos
 	beatAt              Nanos
-	mode                string
+	mode                int
 }
 
 func (s *Sentry) num(name string, otherwise float64) float64 {
