--- a/logic/helper.go
+++ b/logic/helper.go
@@ -33,16 +33,19 @@
 	s.order[at] = w
 }
 
-// spread sums up values for their mean and variance.
+// spread sums up values for their mean and deviation.
 type spread struct {
 	n, sum, square float64
-	workers        int
+	parts          int
 }
 
-func (v *spread) add(o spread, times float64) {
+func (v *spread) add(x float64) { v.join(spread{n: 1, sum: x, square: x * x}, 1) }
+
+func (v *spread) join(o spread, times float64) {
 	v.n += times * o.n
 	v.sum += times * o.sum
 	v.square += times * o.square
 }
 
-func (v *spread) variance() float64 { return max(0, v.square/v.n-v.sum*v.sum/(v.n*v.n)) }
+func (v *spread) mean() float64      { return v.sum / v.n }
+func (v *spread) deviation() float64 { return math.Sqrt(max(0, v.square/v.n-v.mean()*v.mean())) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"strconv"
 )
@@ -18,7 +19,7 @@
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
 	beat       = 50 * Millisecond // housekeeping
-	warmUpAge  = 3 * Second       // younger workers of the pair give no evidence
+	warmUpAge  = 1 * Second       // younger workers of the pair give no evidence
 	pairFloor  = 12               // pairs before 'back'
 	backLevel  = 0.01             // of the sign test of failures
 	holdLevel  = 0.10             // of the same test, under a clock
@@ -28,7 +29,8 @@
 	slowBack   = 2.6              // standard errors by which the trial is slower still: 'back'
 	slowStop   = 1.0              // and no 'on'
 	stakes     = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
-	timeKept   = 0.996            // of the times seen, from beat to beat
+	dragged    = 1.6              // pace of the middle worker at which a build is taken to slow all
+	dragTime   = 3 * Second       // and for how long
 	quietTimes = 5.0              // typical times without a word after which a worker is silent
 	hedgeTimes = 3.0              // typical times after which a second copy goes out
 	hedgeShare = 0.06             // second copies a txn
@@ -51,7 +53,6 @@
 		p := product{sla: s.span(at+"sla", Second), memory: s.span(at+"memory", 0), revenue: s.num(at+"revenue", 1),
 			inquiry: s.word(at+"effect") == "inquiry-like", ref: s.word(at+"effect") == "referenced",
 			anywhere: s.word(at+"group") == "all", byZone: s.word(at+"group") == "zone"}
-		p.typical = float64(p.sla) / 5
 		s.products = append(s.products, p)
 	}
 	lanes := 1
@@ -302,7 +303,7 @@
 	s.exposure[lane] += s.capNow()
 	s.place(at)
 	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
-		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t), float64(p.sla)/2))
+		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t)*max(1, s.pace), float64(p.sla)/2))
 	}
 	s.emit()
 	deep := max(1, s.num("release.free", 0)/2)
@@ -311,10 +312,11 @@
 
 // expected is the time that t should take at an ordinary worker.
 func (s *Sentry) expected(t *txn) float64 {
-	if t.Cost > 0 {
-		return s.products[t.Product].typical * float64(t.Cost)
+	p := &s.products[t.Product]
+	if p.learnt == 0 {
+		return float64(p.sla) / 5
 	}
-	return s.products[t.Product].typical
+	return p.typical * float64(max(t.Cost, 1))
 }
 
 // place sets down where t goes next, or that it is given up.
@@ -526,14 +528,11 @@
 			w.limit += 1 / w.limit
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
-		unit := float64(o.Elapsed)
-		if t.Cost > 0 {
-			unit /= float64(t.Cost)
-			if p.typical > 1000 { // the first told cost: the smoothed figure changes its unit
-				p.typical = unit
-			}
+		unit := float64(o.Elapsed) / float64(max(t.Cost, 1))
+		// While a build is on trial the typical time stands still, or it would hide what the build does to all.
+		if p.learnt++; p.learnt < 100 || s.news.Phase == Released || len(s.trials) == 0 {
+			p.typical += max(0.01, 1/float64(p.learnt)) * (unit - p.typical)
 		}
-		p.typical += 0.01 * (min(unit, 4*p.typical) - p.typical)
 	case Full:
 		w.heard, w.silent = s.now, false
 		w.limit = max(leastOpen, w.limit*0.8)
@@ -550,11 +549,15 @@
 	case Moot:
 		return
 	}
-	if sub.tells && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
+	// Times count against those of the earlier builds at the same moment, so that load does not.
+	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
-		w.times.n++
-		w.times.sum += v
-		w.times.square += v * v
+		if !s.onTrial(sub.rel) {
+			s.level += 0.04 * (v - s.level)
+			s.levelAt = s.now
+		} else if s.now-s.levelAt < 2*Second {
+			w.times.add(v - s.level)
+		}
 	}
 	if sub.arm == noArm || !sub.tells || sub.rel != s.trial && sub.arm == trialArm || w.silent {
 		return
@@ -664,9 +667,6 @@
 		}
 	}
 	for _, w := range s.order {
-		w.times.n *= timeKept
-		w.times.sum *= timeKept
-		w.times.square *= timeKept
 		if !w.silent && w.bad >= restAbove && s.now >= w.nextTry+trickle {
 			w.bad *= 0.98
 		}
@@ -675,6 +675,7 @@
 	if s.wantWatch && !s.watching && s.now >= s.watchAt {
 		s.watchAt = s.now // emit asks
 	}
+	s.look()
 	s.judge()
 }
 
@@ -686,7 +687,7 @@
 	clear(s.metTrial)
 	s.pairs, s.against, s.favour, s.seen = 0, 0, 0, 0
 	for _, w := range s.order {
-		w.against = 0
+		w.against, w.times = 0, spread{}
 	}
 	for i := range s.products {
 		s.products[i].waiting = s.products[i].waiting[:0]
@@ -781,50 +782,70 @@
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
-	enough := s.seen >= stakes*next || age > 3*s.span("release.bake", 0)+5*Second
+	enough := s.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
 	switch {
-	case s.pairs >= pairFloor && p < backLevel && spread < 10*backLevel || slow > slowBack:
+	case s.pairs >= pairFloor && p < backLevel && spread < 10*backLevel || slow > slowBack,
+		s.now-s.draggedAt >= dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough:
+	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough && s.pace < dragged:
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
-		s.note(fmt.Sprintf("vote %d on build %d: %d pairs, %d against, %d for, p %.4f, spread %.4f; slower by %.1f",
-			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow))
+		s.note(fmt.Sprintf("vote %d on build %d: %d pairs, %d against, %d for, p %.4f, spread %.4f; slower by %.1f, pace %.1f",
+			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.pace))
 	}
 }
 
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
-// builds, on a log scale. Each side leaves out its slowest worker where it has several.
+// builds, on a log scale, without its slowest worker where there are several.
 func (s *Sentry) slowness() float64 {
-	var side [2]spread
-	for i := range side {
-		var worst *worker
-		for _, w := range s.order {
-			if (w.Rel == s.trial) != (i == 0) || w.times.n < 1 {
-				continue
-			}
-			side[i].add(w.times, 1)
-			side[i].workers++
-			if worst == nil || w.times.sum/w.times.n > worst.times.sum/worst.times.n {
+	var all spread
+	var worst *worker
+	for _, w := range s.order {
+		if w.Rel == s.trial && w.times.n > 0 {
+			all.join(w.times, 1)
+			if all.parts++; worst == nil || w.times.mean() > worst.times.mean() {
 				worst = w
 			}
 		}
-		if side[i].workers >= 3 {
-			side[i].add(worst.times, -1)
-		}
 	}
-	if side[0].n < slowFloor || side[1].n < slowFloor {
+	if all.parts >= 3 {
+		all.join(worst.times, -1)
+	}
+	if all.n < slowFloor {
 		return 0
 	}
-	error := math.Sqrt(side[0].variance()/side[0].n + side[1].variance()/side[1].n)
-	return (side[0].sum/side[0].n - side[1].sum/side[1].n - math.Log(slowerBy)) / max(error, 0.01)
+	return (all.mean() - math.Log(slowerBy)) / max(all.deviation()/math.Sqrt(all.n), 0.01)
+}
+
+// look sees to the pace of all: a build may slow every worker, so that no pair shows it. Then the middle worker
+// of the earlier builds takes longer than before the trial though few are out of order and no more is asked.
+// It should also catch a build that starves what all share; it could take another cause for the build's.
+func (s *Sentry) look() {
+	s.paces = s.paces[:0]
+	for _, w := range s.order {
+		if w.State == Up && s.fit(w) && s.ramp(w) == 1 {
+			s.paces = append(s.paces, w.slow)
+		}
+	}
+	s.pace = 1
+	if len(s.paces) > 0 {
+		slices.Sort(s.paces)
+		s.pace = s.paces[len(s.paces)/2]
+	}
+	if s.news.Phase != OnTrial || len(s.trials) == 0 {
+		s.calmRate = s.rate
+	}
+	if s.pace < dragged || s.news.Phase != OnTrial || len(s.trials) == 0 || s.rate > 1.25*s.calmRate ||
+		float64(len(s.paces)) < 0.8*s.fleet {
+		s.draggedAt = s.now
+	}
 }
 
 func (s *Sentry) note(text string) { s.out.Log(text) }
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,6 +28,7 @@
 	byZone       bool
 	revenue      float64
 	typical      float64 // smoothed time of settled submissions, over the expected work where that is told
+	learnt       int     // from how many
 	toTrial      bool    // the toggle: the next pair txn goes to the trial
 	waiting      []showing
 }
@@ -114,7 +115,11 @@
 	metTrial map[KeyID]struct{}
 
 	pairs, against, favour int
-	seen                   float64                        // trial outcomes
+	seen                   float64 // trial outcomes
+	level                  float64 // smoothed log of the times of earlier builds
+	levelAt, draggedAt     Nanos
+	pace, calmRate         float64 // of the middle worker; txns a second before the trial
+	paces                  []float64
 	tally                  [2]struct{ many, bad float64 } // of earlier builds, of the trial
 
 	wantVote            Verdict
