--- a/logic/helper.go
+++ b/logic/helper.go
@@ -5,9 +5,10 @@
 	"sort"
 )
 
-// signTest is the chance that a fair coin gives at least a of a+b.
-func signTest(a, b int) float64 {
-	n := a + b
+// signTest is the chance that a fair coin gives at least against heads where it gives favour tails.
+func signTest(against, favour float64) float64 {
+	a := int(math.Round(against))
+	n := a + int(math.Round(max(0, favour)))
 	if n == 0 {
 		return 1
 	}
@@ -47,5 +48,13 @@
 	v.square += times * o.square
 }
 
-func (v *spread) mean() float64      { return v.sum / v.n }
-func (v *spread) deviation() float64 { return math.Sqrt(max(0, v.square/v.n-v.mean()*v.mean())) }
+func (v *spread) mean() float64     { return v.sum / v.n }
+func (v *spread) variance() float64 { return max(0, v.square/v.n-v.mean()*v.mean()) }
+
+// kind gives the pace kept for a kind of machine.
+func (s *Sentry) kind(k KindID) *pace {
+	for int(k) >= len(s.kinds) {
+		s.kinds = append(s.kinds, pace{})
+	}
+	return &s.kinds[k]
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,37 +11,40 @@
 	"fmt"
 	"math"
 	"math/rand"
-	"slices"
 	"sort"
 	"strconv"
 )
 
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
-	beat       = 50 * Millisecond // housekeeping
-	warmUpAge  = 1 * Second       // younger workers of the pair give no evidence
-	pairFloor  = 12               // pairs before 'back'
-	backLevel  = 0.01             // of the sign test of failures
-	holdLevel  = 0.10             // of the same test, under a clock
-	leadLevel  = 0.25             // a lead at this level stops 'on'
-	slowerBy   = 1.25             // a build this many times slower, at the most, is no worse
-	slowFloor  = 10.0             // trial times before they count
-	slowBack   = 2.6              // standard errors by which the trial is slower still: 'back'
-	slowStop   = 1.0              // and no 'on'
-	stakes     = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
-	dragged    = 1.6              // pace of the middle worker at which a build is taken to slow all
-	dragTime   = 3 * Second       // and for how long
-	quietTimes = 5.0              // typical times without a word after which a worker is silent
-	hedgeTimes = 3.0              // typical times after which a second copy goes out
-	hedgeShare = 0.06             // second copies a txn
-	againShare = 0.25             // further submissions a txn
-	restAbove  = 0.35             // share of faults at which a worker rests
-	trickle    = 1 * Second       // between tries at a worker that is silent or rests
-	coldUsed   = 0.55             // part of the cold budget that is used
-	crossTimes = 15.0             // a crossing counts as this many times its price in waiting
-	ownBurst   = 100 * Millisecond
-	leastOpen  = 2.0 // txns that a worker may hold of this sentry, whatever it showed
-	firstOpen  = 8.0 // and may hold before it showed anything
+	beat         = 50 * Millisecond // housekeeping
+	warmUpAge    = 1 * Second       // younger workers of the pair give no evidence
+	pairFloor    = 11.5             // pairs before 'back'
+	backLevel    = 0.01             // of the sign test of failures, stricter after so many pairs, as it looks often
+	manyPairs    = 100.0
+	spreadLevel  = 0.13       // of the same test without the trial's worst worker
+	evidenceKept = 0.9977     // of the pairs, from beat to beat
+	holdLevel    = 0.10       // of the same test, under a clock
+	leadLevel    = 0.25       // a lead at this level stops 'on'
+	slowerBy     = 1.25       // a build this many times slower, at the most, is no worse
+	slowFloor    = 10.0       // trial times before they count
+	unlike       = 0.2        // deviation between like machines, on a log scale
+	slowBack     = 3.0        // standard errors by which the trial is slower still: 'back'
+	slowStop     = 1.0        // and no 'on'
+	stakes       = 24.0       // trial outcomes that 'on' needs for a next stage on the whole fleet
+	dragged      = 0.5        // rise of the log of all times at which a build is taken to slow all
+	dragTime     = 3 * Second // and for how long
+	quietTimes   = 5.0        // typical times without a word after which a worker is silent
+	hedgeTimes   = 3.0        // typical times after which a second copy goes out
+	hedgeShare   = 0.06       // second copies a txn
+	againShare   = 0.25       // further submissions a txn
+	restAbove    = 0.35       // share of faults at which a worker rests
+	trickle      = 1 * Second // between tries at a worker that is silent or rests
+	coldUsed     = 0.55       // part of the cold budget that is used
+	crossTimes   = 15.0       // a crossing counts as this many times its price in waiting
+	ownBurst     = 100 * Millisecond
+	leastOpen    = 2.0 // txns that a worker may hold of this sentry, whatever it showed
+	firstOpen    = 8.0 // and may hold before it showed anything
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
@@ -303,7 +306,7 @@
 	s.exposure[lane] += s.capNow()
 	s.place(at)
 	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
-		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t)*max(1, s.pace), float64(p.sla)/2))
+		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t)*math.Exp(max(0, s.drag)), float64(p.sla)/2))
 	}
 	s.emit()
 	deep := max(1, s.num("release.free", 0)/2)
@@ -552,11 +555,11 @@
 	// Times count against those of the earlier builds at the same moment, so that load does not.
 	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
-		if !s.onTrial(sub.rel) {
-			s.level += 0.04 * (v - s.level)
-			s.levelAt = s.now
-		} else if s.now-s.levelAt < 2*Second {
-			w.times.add(v - s.level)
+		if k := s.kind(w.Kind); !s.onTrial(sub.rel) {
+			s.level += 0.02 * (v - s.level)
+			k.level, k.at = k.level+0.04*(v-k.level), s.now
+		} else if s.now-k.at < 2*Second {
+			w.times.add(v - k.level)
 		}
 	}
 	if sub.arm == noArm || !sub.tells || sub.rel != s.trial && sub.arm == trialArm || w.silent {
@@ -761,22 +764,25 @@
 	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
 		return
 	}
-	// Danger: one bad machine on either side passes for the build. Where a side has several, the worst one is
-	// left out: of the baseline always, of the trial for a second look at a laxer level.
-	worstTrial, worstBase, trials, bases := 0, 0, 0, 0
+	// Danger: one bad machine on either side passes for the build. So the worst worker of a side with several
+	// is left out, of the trial for a second look at a laxer level, and also where it is alone but workers of
+	// earlier builds fail as well.
+	worstTrial, worstBase, trials, bases, ailing := 0.0, 0.0, 0, 0, false
 	for _, w := range s.order {
-		if w.Rel == s.trial {
+		w.against *= evidenceKept
+		if w.Rel == s.trial && w.State == Up {
 			worstTrial, trials = max(worstTrial, w.against), trials+1
-		} else {
-			worstBase, bases = max(worstBase, w.against), bases+1
+		} else if w.State == Up {
+			worstBase, bases, ailing = max(worstBase, w.against), bases+1, ailing || w.bad > restAbove/2
 		}
 	}
-	if trials < 3 {
+	if trials < 2 && !ailing {
 		worstTrial = 0
 	}
 	if bases < 3 {
 		worstBase = 0
 	}
+	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
 	p := signTest(s.against, s.favour-worstBase)
 	spread := signTest(s.against-worstTrial, s.favour-worstBase)
 	slow := s.slowness()
@@ -784,7 +790,7 @@
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := s.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
 	switch {
-	case s.pairs >= pairFloor && p < backLevel && spread < 10*backLevel || slow > slowBack,
+	case s.pairs >= pairFloor && p < backLevel*min(1, manyPairs/s.pairs) && spread < spreadLevel || slow > slowBack,
 		s.now-s.draggedAt >= dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
@@ -792,13 +798,13 @@
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough && s.pace < dragged:
+	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough && s.drag < dragged:
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
-		s.note(fmt.Sprintf("vote %d on build %d: %d pairs, %d against, %d for, p %.4f, spread %.4f; slower by %.1f, pace %.1f",
-			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.pace))
+		s.note(fmt.Sprintf("vote %d on build %d: %.0f pairs, %.1f against, %.1f for, p %.4f, spread %.4f; slower by %.1f, all by %.2f",
+			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.drag))
 	}
 }
 
@@ -821,29 +827,25 @@
 	if all.n < slowFloor {
 		return 0
 	}
-	return (all.mean() - math.Log(slowerBy)) / max(all.deviation()/math.Sqrt(all.n), 0.01)
+	error := math.Sqrt(all.variance()/all.n + unlike*unlike/float64(all.parts))
+	return (all.mean() - math.Log(slowerBy)) / error
 }
 
-// look sees to the pace of all: a build may slow every worker, so that no pair shows it. Then the middle worker
-// of the earlier builds takes longer than before the trial though few are out of order and no more is asked.
+// look sees to the level of all: a build may slow every worker, so that no pair shows it. Then earlier builds
+// take longer than before the trial though few workers are out of order and no more is asked of them.
 // It should also catch a build that starves what all share; it could take another cause for the build's.
 func (s *Sentry) look() {
-	s.paces = s.paces[:0]
+	fit := 0.0
 	for _, w := range s.order {
 		if w.State == Up && s.fit(w) && s.ramp(w) == 1 {
-			s.paces = append(s.paces, w.slow)
+			fit++
 		}
 	}
-	s.pace = 1
-	if len(s.paces) > 0 {
-		slices.Sort(s.paces)
-		s.pace = s.paces[len(s.paces)/2]
-	}
 	if s.news.Phase != OnTrial || len(s.trials) == 0 {
-		s.calmRate = s.rate
+		s.calmRate, s.calmLevel = s.rate, s.calmLevel+0.01*(s.level-s.calmLevel)
 	}
-	if s.pace < dragged || s.news.Phase != OnTrial || len(s.trials) == 0 || s.rate > 1.25*s.calmRate ||
-		float64(len(s.paces)) < 0.8*s.fleet {
+	s.drag = s.level - s.calmLevel
+	if s.drag < dragged || s.news.Phase != OnTrial || len(s.trials) == 0 || s.rate > 1.25*s.calmRate || fit < 0.8*s.fleet {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,13 +48,19 @@
 	heard     Nanos
 	nextTry   Nanos
 	counted   Nanos
-	against   int // discordant pairs that it lost for the trial
+	against   float64 // discordant pairs that it lost for the trial
 	silent    bool
 	times     spread  // logs of times over the typical one, of late
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
 }
 
+// pace is the smoothed log of times over the typical ones.
+type pace struct {
+	level float64
+	at    Nanos
+}
+
 type submission struct {
 	to       *worker
 	sent     Nanos
@@ -114,13 +120,13 @@
 	refilled Nanos
 	metTrial map[KeyID]struct{}
 
-	pairs, against, favour int
-	seen                   float64 // trial outcomes
-	level                  float64 // smoothed log of the times of earlier builds
-	levelAt, draggedAt     Nanos
-	pace, calmRate         float64 // of the middle worker; txns a second before the trial
-	paces                  []float64
-	tally                  [2]struct{ many, bad float64 } // of earlier builds, of the trial
+	pairs, against, favour    float64
+	seen                      float64 // trial outcomes
+	level                     float64 // smoothed log of the times of earlier builds
+	levelAt, draggedAt        Nanos
+	calmRate, calmLevel, drag float64                        // txns a second and level before the trial; the level's rise since
+	kinds                     []pace                         // of earlier builds, by kind of machine
+	tally                     [2]struct{ many, bad float64 } // of earlier builds, of the trial
 
 	wantVote            Verdict
 	voteAt, votedAt     Nanos
