--- a/logic/helper.go
+++ b/logic/helper.go
@@ -58,3 +58,16 @@
 	}
 	return &s.kinds[k]
 }
+
+// worstQuarter sums the largest quarter of the values, rounded up, if there are more than so many.
+func worstQuarter(values []float64, over float64) float64 {
+	if float64(len(values)) <= over {
+		return 0
+	}
+	sort.Float64s(values)
+	sum := 0.0
+	for i := 0; i < (len(values)+3)/4; i++ {
+		sum += values[len(values)-1-i]
+	}
+	return sum
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,9 +8,11 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"strconv"
 )
@@ -32,7 +34,8 @@
 	slowBack     = 3.0        // standard errors by which the trial is slower still: 'back'
 	slowStop     = 1.0        // and no 'on'
 	stakes       = 24.0       // trial outcomes that 'on' needs for a next stage on the whole fleet
-	dragged      = 0.5        // rise of the log of all times at which a build is taken to slow all
+	rise         = 0.12       // rise of the log of all times that counts for its stage
+	dragged      = 0.4        // rise at which a build is taken to slow all
 	dragTime     = 3 * Second // and for how long
 	quietTimes   = 5.0        // typical times without a word after which a worker is silent
 	hedgeTimes   = 3.0        // typical times after which a second copy goes out
@@ -715,6 +718,10 @@
 		s.newTrial(n.Rel)
 	}
 	if n.Rel != s.news.Rel || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
+		s.stageLevel, s.roseAt = s.level, -1
+		if n.Rel != s.news.Rel {
+			s.rises = 0
+		}
 		s.note(fmt.Sprintf("build %d stage %d phase %d cap %.3f", n.Rel, n.Stage, n.Phase, n.Cap))
 	}
 	s.news, s.newsAt = n, now
@@ -764,27 +771,25 @@
 	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
 		return
 	}
-	// Danger: one bad machine on either side passes for the build. So the worst worker of a side with several
-	// is left out, of the trial for a second look at a laxer level, and also where it is alone but workers of
-	// earlier builds fail as well.
-	worstTrial, worstBase, trials, bases, ailing := 0.0, 0.0, 0, 0, false
+	// Danger: a few bad machines on either side pass for the build. So each side's worst quarter is left out, of
+	// the trial for a second look at a laxer level; a lone trial worker too while earlier builds fail as well.
+	ailing := 1.0
+	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
 		w.against *= evidenceKept
-		if w.Rel == s.trial && w.State == Up {
-			worstTrial, trials = max(worstTrial, w.against), trials+1
-		} else if w.State == Up {
-			worstBase, bases, ailing = max(worstBase, w.against), bases+1, ailing || w.bad > restAbove/2
+		if w.State != Up {
+			continue
+		}
+		if w.Rel == s.trial {
+			trials = append(trials, w.against)
+		} else if bases = append(bases, w.against); w.bad > restAbove/2 {
+			ailing = 0
 		}
 	}
-	if trials < 2 && !ailing {
-		worstTrial = 0
-	}
-	if bases < 3 {
-		worstBase = 0
-	}
+	s.scratch[0], s.scratch[1] = trials, bases
 	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
-	p := signTest(s.against, s.favour-worstBase)
-	spread := signTest(s.against-worstTrial, s.favour-worstBase)
+	favour := s.favour - worstQuarter(bases, 2)
+	p, spread := signTest(s.against, favour), signTest(s.against-worstQuarter(trials, ailing), favour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
@@ -798,7 +803,8 @@
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && p > leadLevel && slow < slowStop && enough && s.drag < dragged:
+	case age >= s.span("release.bake", 0) && spread > leadLevel && slow < slowStop && enough &&
+		(s.drag < dragged || s.rises == 0):
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
@@ -812,18 +818,20 @@
 // builds, on a log scale, without its slowest worker where there are several.
 func (s *Sentry) slowness() float64 {
 	var all spread
-	var worst *worker
+	side := s.side[:0]
 	for _, w := range s.order {
 		if w.Rel == s.trial && w.times.n > 0 {
 			all.join(w.times, 1)
-			if all.parts++; worst == nil || w.times.mean() > worst.times.mean() {
-				worst = w
-			}
+			side = append(side, w)
 		}
 	}
-	if all.parts >= 3 {
-		all.join(worst.times, -1)
+	s.side = side
+	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
+	out := (len(side) + 2) / 4
+	for _, w := range side[:out] {
+		all.join(w.times, -1)
 	}
+	all.parts = len(side) - out
 	if all.n < slowFloor {
 		return 0
 	}
@@ -832,20 +840,17 @@
 }
 
 // look sees to the level of all: a build may slow every worker, so that no pair shows it. Then earlier builds
-// take longer than before the trial though few workers are out of order and no more is asked of them.
-// It should also catch a build that starves what all share; it could take another cause for the build's.
+// take longer than before the trial, and longer with each stage, though not much more is asked of them. It
+// should also catch a build that starves what all share; a fleet that fails bit by bit could pass for it.
 func (s *Sentry) look() {
-	fit := 0.0
-	for _, w := range s.order {
-		if w.State == Up && s.fit(w) && s.ramp(w) == 1 {
-			fit++
-		}
-	}
 	if s.news.Phase != OnTrial || len(s.trials) == 0 {
 		s.calmRate, s.calmLevel = s.rate, s.calmLevel+0.01*(s.level-s.calmLevel)
 	}
 	s.drag = s.level - s.calmLevel
-	if s.drag < dragged || s.news.Phase != OnTrial || len(s.trials) == 0 || s.rate > 1.25*s.calmRate || fit < 0.8*s.fleet {
+	if s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
+		s.rises, s.roseAt = s.rises+1, s.news.Stage
+	}
+	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial || s.rate > 1.5*s.calmRate {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -124,7 +124,11 @@
 	seen                      float64 // trial outcomes
 	level                     float64 // smoothed log of the times of earlier builds
 	levelAt, draggedAt        Nanos
-	calmRate, calmLevel, drag float64                        // txns a second and level before the trial; the level's rise since
+	calmRate, calmLevel, drag float64 // txns a second and level before the trial; the level's rise since
+	stageLevel                float64 // at the start of the stage
+	rises, roseAt             int     // stages with a rise
+	scratch                   [2][]float64
+	side                      []*worker
 	kinds                     []pace                         // of earlier builds, by kind of machine
 	tally                     [2]struct{ many, bad float64 } // of earlier builds, of the trial
 
