Weigh the rotation by warmth; judge times only beside a matching baseline

Danger met: the last, crowded workers of an earlier build made the trial look slower, or all slowed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,7 @@
 	againShare   = 0.25       // further submissions a txn
 	restAbove    = 0.35       // share of faults at which a worker rests
 	trickle      = 1 * Second // between tries at a worker that is silent or rests
-	coldUsed     = 0.55       // part of the cold budget that is used
+	coldUsed     = 0.8        // part of the cold budget that is used
 	crossTimes   = 15.0       // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 2.0 // txns that a worker may hold of this sentry, whatever it showed
@@ -401,16 +401,26 @@
 	return false
 }
 
-// rotate picks the next worker of a side in turn, those of the own zone first where crossing has a price.
+// rotate picks the next worker of a side in turn, a cold one less often, those of the own zone first where
+// crossing has a price.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
-	s.turn++
 	for _, anyZone := range []bool{s.num("price.cross-zone", 0) == 0, true} {
-		for i := range side {
-			w := side[(s.turn+i)%len(side)]
-			if s.room(w, t) && (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.maySend(t, w) && !t.tried(w) {
-				return w
+		var best *worker
+		sum := 0.0
+		for _, w := range side {
+			if (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.room(w, t) && s.maySend(t, w) &&
+				!t.tried(w) {
+				r := s.ramp(w)
+				w.turn, sum = min(w.turn+r, 2), sum+r
+				if best == nil || w.turn > best.turn {
+					best = w
+				}
 			}
 		}
+		if best != nil {
+			best.turn -= sum
+			return best
+		}
 	}
 	return nil
 }
@@ -558,10 +568,11 @@
 	// Times count against those of the earlier builds at the same moment, so that load does not.
 	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
+		s.level += 0.02 * (v - s.level)
+		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := s.kind(w.Kind); !s.onTrial(sub.rel) {
-			s.level += 0.02 * (v - s.level)
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
-		} else if s.now-k.at < 2*Second {
+		} else if s.now-k.at < 2*Second && 2*len(s.bases) >= len(s.trials) {
 			w.times.add(v - k.level)
 		}
 	}
@@ -850,7 +861,7 @@
 	if s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial || s.rate > 1.5*s.calmRate {
+	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial || s.rate > 1.25*s.calmRate {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,6 +51,7 @@
 	against   float64 // discordant pairs that it lost for the trial
 	silent    bool
 	times     spread  // logs of times over the typical one, of late
+	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
 }
@@ -107,7 +108,6 @@
 	credit              float64
 	creditTrial         float64
 	creditBase          float64
-	turn                int
 	fleet               float64 // workers that usually carry the load
 	rate                float64 // txns a second
 	taken               int
