--- a/logic/logic.go
+++ b/logic/logic.go
@@ -729,7 +729,7 @@
 		s.newTrial(n.Rel)
 	}
 	if n.Rel != s.news.Rel || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
-		s.stageLevel, s.roseAt = s.level, -1
+		s.stageLevel, s.roseAt = s.warmLevel, -1
 		if n.Rel != s.news.Rel {
 			s.rises = 0
 		}
@@ -858,7 +858,12 @@
 		s.calmRate, s.calmLevel = s.rate, s.calmLevel+0.01*(s.level-s.calmLevel)
 	}
 	s.drag = s.level - s.calmLevel
-	if s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
+	// Danger: replacing workers takes capacity away for as long as the new ones are cold, which slows all too.
+	if slices.ContainsFunc(s.order, func(w *worker) bool { return w.State == Up && s.ramp(w) < 1 }) {
+		s.draggedAt = s.now
+		return
+	}
+	if s.warmLevel = s.level; s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
 	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial || s.rate > 1.25*s.calmRate {
--- a/logic/state.go
+++ b/logic/state.go
@@ -125,7 +125,7 @@
 	level                     float64 // smoothed log of the times of earlier builds
 	levelAt, draggedAt        Nanos
 	calmRate, calmLevel, drag float64 // txns a second and level before the trial; the level's rise since
-	stageLevel                float64 // at the start of the stage
+	warmLevel, stageLevel     float64 // the level when last no worker was cold, and that at the start of the stage
 	rises, roseAt             int     // stages with a rise
 	scratch                   [2][]float64
 	side                      []*worker
