Judge a build by its errors alone once no baseline is left

It should also catch builds that turn bad late; it could harm where errors come from what all workers share.

--- a/logic/helper.go
+++ b/logic/helper.go
@@ -71,3 +71,10 @@
 	}
 	return sum
 }
+
+func errShare(e Ending) float64 {
+	if e == Erred {
+		return 1
+	}
+	return 0
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -527,7 +527,9 @@
 	s.touch(at)
 }
 
-// learn takes from an outcome what it tells of the worker, of usual times and of the pair.
+// learn takes from an outcome what it tells of the worker, of usual times and of the pair. With no baseline left,
+// as after a release, each outcome of the trial meets the error share that earlier builds had. Then only errors
+// count: what is late or silent is as often the machine's or the load's doing.
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
@@ -576,6 +578,17 @@
 			w.times.add(v - k.level)
 		}
 	}
+	if !s.onTrial(sub.rel) && sub.rel < s.trial {
+		s.usualErr += 0.005 * (errShare(o.Ending) - s.usualErr)
+	} else if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
+		s.pairs++
+		if o.Ending == Erred {
+			s.lose(w, &s.against, 1-s.usualErr)
+		} else if o.Ending == OK {
+			s.favour += s.usualErr
+		}
+		return
+	}
 	if sub.arm == noArm || !sub.tells || sub.rel != s.trial && sub.arm == trialArm || w.silent {
 		return
 	}
@@ -599,22 +612,20 @@
 // pair counts one pair (step 4).
 func (s *Sentry) pair(trial, base showing) {
 	s.pairs++
-	if trial.good != base.good {
-		loser := trial.worker
-		if trial.good {
-			loser = base.worker
-		}
-		// Danger: a worker that dies fails all that it holds at once, which is one piece of evidence, not many.
-		if s.now-loser.counted < ownBurst {
-			return
-		}
-		loser.counted = s.now
-		loser.against++
-		if trial.good {
-			s.favour++
-		} else {
-			s.against++
-		}
+	if trial.good && !base.good {
+		s.lose(base.worker, &s.favour, 1)
+	} else if base.good && !trial.good {
+		s.lose(trial.worker, &s.against, 1)
+	}
+}
+
+// lose counts a discordant pair that w lost.
+func (s *Sentry) lose(w *worker, side *float64, by float64) {
+	// Danger: a worker that dies fails all that it holds at once, which is one piece of evidence, not many.
+	if s.now-w.counted >= ownBurst {
+		w.counted = s.now
+		w.against += by
+		*side += by
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -126,6 +126,7 @@
 	levelAt, draggedAt        Nanos
 	calmRate, calmLevel, drag float64 // txns a second and level before the trial; the level's rise since
 	warmLevel, stageLevel     float64 // the level when last no worker was cold, and that at the start of the stage
+	usualErr                  float64 // share of errors of earlier builds
 	rises, roseAt             int     // stages with a rise
 	scratch                   [2][]float64
 	side                      []*worker
