--- /dev/null
+++ b/logic/emit.go
@@ -0,0 +1,82 @@
+package logic
+
+// emit turns the difference between what is wanted and what is into actions. Only the guards of logic.go stand
+// between; nothing is decided here.
+func (s *Sentry) emit() {
+	for i := 0; i < len(s.touched); i++ {
+		at := s.touched[i]
+		t := &s.slab[at]
+		t.touched = false
+		if t.has == unanswered && t.want.to != nil {
+			if s.maySend(t, t.want.to) {
+				s.submit(t)
+			} else {
+				s.giveUp(at)
+			}
+		}
+		t.want.to = nil
+		if t.has == unanswered && t.want.answer != unanswered {
+			t.has = t.want.answer
+			if t.has == declined {
+				s.out.Decline(t.ID, t.want.retry)
+			} else {
+				s.out.Void(t.ID)
+			}
+		}
+		if t.has == unanswered && t.want.wake > s.now {
+			s.out.Remind(t.want.wake-s.now, uint64(at)|uint64(t.gen)<<32)
+			t.want.wake = 0
+		}
+		if t.has != unanswered {
+			s.wind(at)
+		}
+	}
+	s.touched = s.touched[:0]
+	if s.wantWatch && !s.watching && s.now >= s.watchAt {
+		s.watching = true
+		s.out.Watch()
+	}
+	if s.wantVote != NoVote && s.mayVote {
+		s.mayVote = false
+		s.out.Vote(s.wantVote, s.trial, s.news.Stage)
+	}
+	if s.now >= s.beatAt {
+		s.beatAt = s.now + beat
+		s.out.Remind(beat, 0)
+	}
+}
+
+// wind calls off, once, what is still out of a txn that is over, and frees its place when nothing is.
+func (s *Sentry) wind(at int32) {
+	t := &s.slab[at]
+	out := false
+	for k := 0; k < t.n; k++ {
+		if t.subs[k].out {
+			out = true
+			if s.flag("allow.cancel") && !t.wound && t.stream != k+1 {
+				s.out.Cancel(t.ID, k)
+			}
+		}
+	}
+	t.wound = true
+	if !out {
+		delete(s.byID, t.ID)
+		s.free = append(s.free, at)
+	}
+}
+
+// submit sends t to the worker that is wanted and books it.
+func (s *Sentry) submit(t *txn) {
+	w := t.want.to
+	w.open++
+	if s.ramp(w) < 1 {
+		w.cold--
+	}
+	if s.onTrial(w.Rel) {
+		s.exposure[s.lane(t.Product)]--
+	}
+	t.subs[t.n] = submission{to: w, sent: s.now, rel: w.Rel, out: true, arm: t.want.arm,
+		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge}
+	t.n++
+	s.out.Submit(t.ID, w.ID, 0)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,7 +13,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 	"strconv"
 )
 
@@ -22,51 +21,41 @@
 	beat         = 50 * Millisecond // housekeeping
 	warmUpAge    = 1 * Second       // younger workers of the pair give no evidence
 	pairFloor    = 11.5             // pairs before 'back'
-	backLevel    = 0.01             // of the sign test of failures, stricter after so many pairs, as it looks often
-	manyPairs    = 100.0
-	spreadLevel  = 0.13       // of the same test without the trial's worst worker
-	evidenceKept = 0.9977     // of the pairs, from beat to beat
-	holdLevel    = 0.10       // of the same test, under a clock
-	leadLevel    = 0.25       // a lead at this level stops 'on'
-	slowerBy     = 1.25       // a build this many times slower, at the most, is no worse
-	slowFloor    = 10.0       // trial times before they count
-	unlike       = 0.2        // deviation between like machines, on a log scale
-	slowBack     = 3.0        // standard errors by which the trial is slower still: 'back'
-	slowStop     = 1.0        // and no 'on'
-	stakes       = 24.0       // trial outcomes that 'on' needs for a next stage on the whole fleet
-	rise         = 0.12       // rise of the log of all times that counts for its stage
-	dragged      = 0.4        // rise at which a build is taken to slow all
-	dragTime     = 3 * Second // and for how long
-	quietTimes   = 5.0        // typical times without a word after which a worker is silent
-	hedgeTimes   = 3.0        // typical times after which a second copy goes out
-	hedgeShare   = 0.06       // second copies a txn
-	againShare   = 0.25       // further submissions a txn
-	restAbove    = 0.35       // share of faults at which a worker rests
-	trickle      = 1 * Second // between tries at a worker that is silent or rests
-	coldUsed     = 0.8        // part of the cold budget that is used
-	crossTimes   = 15.0       // a crossing counts as this many times its price in waiting
+	backLevel    = 0.01             // of the sign test of failures; stricter after
+	manyPairs    = 100.0            // as it looks often
+	spreadLevel  = 0.13             // of the same test without the trial's worst worker
+	evidenceKept = 0.9977           // of the pairs, from beat to beat
+	holdLevel    = 0.10             // of the same test, under a clock
+	leadLevel    = 0.25             // a lead at this level stops 'on'
+	slowerBy     = 1.25             // a build this many times slower, at the most, is no worse
+	slowFloor    = 10.0             // trial times before they count
+	unlike       = 0.2              // deviation between like machines, on a log scale
+	slowBack     = 3.0              // standard errors by which the trial is slower still: 'back'
+	slowStop     = 1.0              // and no 'on'
+	stakes       = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
+	rise         = 0.12             // rise of the log of all times that counts for its stage
+	dragged      = 0.4              // rise at which a build is taken to slow all
+	dragTime     = 3 * Second       // and for how long
+	quietTimes   = 5.0              // typical times without a word after which a worker is silent
+	hedgeTimes   = 3.0              // typical times after which a second copy goes out
+	hedgeShare   = 0.06             // second copies a txn
+	againShare   = 0.25             // further submissions a txn
+	restAbove    = 0.35             // share of faults at which a worker rests
+	trickle      = 1 * Second       // between tries at a worker that is silent or rests
+	coldUsed     = 0.8              // part of the cold budget that is used
+	crossTimes   = 15.0             // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 2.0 // txns that a worker may hold of this sentry, whatever it showed
 	firstOpen    = 8.0 // and may hold before it showed anything
+	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
 		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now}
-	for i := 0; i < int(s.num("products.count", 0)); i++ {
-		at := "products." + strconv.Itoa(i) + "."
-		p := product{sla: s.span(at+"sla", Second), memory: s.span(at+"memory", 0), revenue: s.num(at+"revenue", 1),
-			inquiry: s.word(at+"effect") == "inquiry-like", ref: s.word(at+"effect") == "referenced",
-			anywhere: s.word(at+"group") == "all", byZone: s.word(at+"group") == "zone"}
-		s.products = append(s.products, p)
-	}
-	lanes := 1
-	if s.word("release.counts") == "product" {
-		lanes = max(1, len(s.products))
-	}
-	// A restart forgets what was sent: the count of exposure starts with nothing to spare.
-	s.exposure = make([]float64, lanes)
+	s.readProducts()
+	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
 	s.wantWatch = s.word("discovery") == "ask"
 	s.hedges, s.agains = 5, 10
@@ -158,36 +147,22 @@
 		return
 	}
 	s.tiltTrial = min(trial/all, s.capNow())
-	// The baseline: as many of the newest earlier-build workers, of the trial's kinds and warm first.
-	kinds := map[KindID]int{}
-	for _, w := range s.trials {
-		kinds[w.Kind]++
-	}
-	sort.SliceStable(s.rest, func(i, j int) bool {
-		a, b := s.rest[i], s.rest[j]
-		if a.Rel != b.Rel {
-			return a.Rel > b.Rel
+	// The baseline: as many of the newest earlier-build workers, those of the trial's kinds of machine first.
+	slices.SortStableFunc(s.rest, func(a, b *worker) int {
+		like := func(w *worker) int {
+			if s.fit(w) && slices.ContainsFunc(s.trials, func(t *worker) bool { return t.Kind == w.Kind }) {
+				return 0
+			}
+			return 1
 		}
-		return a.Start > b.Start
+		return cmp.Or(cmp.Compare(like(a), like(b)), cmp.Compare(b.Rel, a.Rel), cmp.Compare(b.Start, a.Start))
 	})
-	keep := s.rest[:0]
-	spare := make([]*worker, 0, len(s.rest))
-	for _, w := range s.rest {
-		if kinds[w.Kind] > 0 && s.fit(w) && len(s.bases) < len(s.trials) {
-			kinds[w.Kind]--
-			s.bases = append(s.bases, w)
-		} else {
-			spare = append(spare, w)
-		}
+	n := min(len(s.trials), len(s.rest))
+	for n > 0 && !s.fit(s.rest[n-1]) {
+		n--
 	}
-	for _, w := range spare {
-		if len(s.bases) < len(s.trials) && s.fit(w) {
-			s.bases = append(s.bases, w)
-		} else {
-			keep = append(keep, w)
-		}
-	}
-	s.rest = keep
+	s.bases = append(s.bases, s.rest[:n]...)
+	s.rest = s.rest[:copy(s.rest, s.rest[n:])]
 	base := 0.0
 	for _, w := range s.bases {
 		base += s.ramp(w)
@@ -197,14 +172,6 @@
 
 // ---- The rules, in one place: nothing is sent or answered that these do not allow ----
 
-// lane is the count of exposure that a product falls under.
-func (s *Sentry) lane(p ProductID) int {
-	if len(s.exposure) > 1 {
-		return int(p)
-	}
-	return 0
-}
-
 // maySend holds all rules on a submission of t to w, at this moment.
 func (s *Sentry) maySend(t *txn, w *worker) bool {
 	p := &s.products[t.Product]
@@ -257,15 +224,9 @@
 // mayDecline tells whether the client may be told that trying again does no harm.
 func (s *Sentry) mayDecline(t *txn) bool {
 	p := &s.products[t.Product]
-	if p.inquiry {
-		return true
-	}
-	for i := 0; i < t.n; i++ {
-		if (t.subs[i].out || t.subs[i].ran) && !(p.ref && p.anywhere) {
-			return false
-		}
-	}
-	return true
+	return p.inquiry || p.ref && p.anywhere || !slices.ContainsFunc(t.subs[:t.n], func(b submission) bool {
+		return b.out || b.ran
+	})
 }
 
 // refill lets budgets grow: for each lane, free attempts a window, which with the depth of the bucket add up
@@ -294,15 +255,8 @@
 func (s *Sentry) Take(now Nanos, in Txn) {
 	s.now = now
 	s.refill()
-	if len(s.free) == 0 {
-		s.slab = append(s.slab, txn{})
-		s.free = append(s.free, int32(len(s.slab)-1))
-	}
-	at := s.free[len(s.free)-1]
-	s.free = s.free[:len(s.free)-1]
+	at := s.hold(in)
 	t := &s.slab[at]
-	*t = txn{Txn: in, gen: t.gen + 1}
-	s.byID[in.ID] = at
 	s.taken++
 	s.hedges, s.agains = min(s.hedges+hedgeShare, 20), min(s.agains+againShare, 50)
 	lane := s.lane(t.Product)
@@ -316,38 +270,13 @@
 	s.exposure[lane] = min(s.exposure[lane], deep)
 }
 
-// expected is the time that t should take at an ordinary worker.
-func (s *Sentry) expected(t *txn) float64 {
-	p := &s.products[t.Product]
-	if p.learnt == 0 {
-		return float64(p.sla) / 5
-	}
-	return p.typical * float64(max(t.Cost, 1))
-}
-
 // place sets down where t goes next, or that it is given up.
 func (s *Sentry) place(at int32) {
 	t := &s.slab[at]
 	t.want.to, t.want.arm = s.choose(t)
 	s.touch(at)
-	if t.want.to != nil {
-		return
-	}
-	for i := 0; i < t.n; i++ {
-		if t.subs[i].out {
-			return // it may still be settled
-		}
-	}
-	t.want.answer = voided
-	if s.mayDecline(t) {
-		t.want.answer = declined
-	}
-}
-
-func (s *Sentry) touch(at int32) {
-	if !s.slab[at].touched {
-		s.slab[at].touched = true
-		s.touched = append(s.touched, at)
+	if t.want.to == nil {
+		s.giveUp(at)
 	}
 }
 
@@ -357,7 +286,8 @@
 	if s.bound(t) && len(s.trials) > 0 {
 		return s.rotate(s.trials, t), noArm
 	}
-	if t.n == 0 && len(s.trials) > 0 && (len(s.bases) == 0 || s.pairTakes(t)) {
+	takes := func(w *worker) bool { return s.maySend(t, w) }
+	if t.n == 0 && len(s.trials) > 0 && (len(s.bases) == 0 || slices.ContainsFunc(s.trials, takes)) {
 		s.credit += s.tiltTrial + s.tiltBase
 		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
 		s.creditBase = min(s.creditBase+s.tiltBase, 2)
@@ -391,16 +321,6 @@
 	return s.soonest(s.trials, t), noArm
 }
 
-// pairTakes tells whether a txn may go to either side of the pair.
-func (s *Sentry) pairTakes(t *txn) bool {
-	for _, w := range s.trials {
-		if s.maySend(t, w) {
-			return true
-		}
-	}
-	return false
-}
-
 // rotate picks the next worker of a side in turn, a cold one less often, those of the own zone first where
 // crossing has a price.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
@@ -435,15 +355,6 @@
 	return float64(w.open) < limit
 }
 
-func (t *txn) tried(w *worker) bool {
-	for i := 0; i < t.n; i++ {
-		if t.subs[i].to == w {
-			return true
-		}
-	}
-	return false
-}
-
 // soonest picks the worker that should answer first, as far as own submissions and reports tell.
 func (s *Sentry) soonest(from []*worker, t *txn) *worker {
 	var best *worker
@@ -515,21 +426,19 @@
 // giveUp sets down a final answer unless something out may still settle the txn.
 func (s *Sentry) giveUp(at int32) {
 	t := &s.slab[at]
-	for i := 0; i < t.n; i++ {
-		if t.subs[i].out && s.now < t.Expiry {
-			return
-		}
+	if s.now < t.Expiry && slices.ContainsFunc(t.subs[:t.n], func(b submission) bool { return b.out }) {
+		return
 	}
 	t.want.answer = voided
 	if s.mayDecline(t) {
-		t.want.answer = declined
+		t.want.answer, t.want.retry = declined, s.span("allow.longest-retry-after", 0)/4
 	}
 	s.touch(at)
 }
 
-// learn takes from an outcome what it tells of the worker, of usual times and of the pair. With no baseline left,
-// as after a release, each outcome of the trial meets the error share that earlier builds had. Then only errors
-// count: what is late or silent is as often the machine's or the load's doing.
+// learn takes from an outcome what it tells of the worker, of usual times and of the pair. With no baseline
+// left, as after a release, each outcome of the trial meets the error share that earlier builds had. Then only
+// errors count: what is late or silent is as often the machine's or the load's doing.
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
@@ -630,24 +539,10 @@
 }
 
 // Streaming takes the start of a streamed answer: the txn is the client's now.
-func (s *Sentry) Streaming(now Nanos, id TxnID, number int) {
-	s.now = now
-	if at, held := s.byID[id]; held && number >= 0 && number < s.slab[at].n {
-		s.slab[at].has, s.slab[at].stream = settled, number+1
-		s.touch(at)
-	}
-	s.emit()
-}
+func (s *Sentry) Streaming(now Nanos, id TxnID, number int) { s.end(now, id, number+1) }
 
 // Left takes that a client has left.
-func (s *Sentry) Left(now Nanos, id TxnID) {
-	s.now = now
-	if at, held := s.byID[id]; held {
-		s.slab[at].has = settled
-		s.touch(at)
-	}
-	s.emit()
-}
+func (s *Sentry) Left(now Nanos, id TxnID) { s.end(now, id, 0) }
 
 // Timer takes a timer: the beat, or a txn that has waited for long.
 func (s *Sentry) Timer(now Nanos, token uint64) {
@@ -680,8 +575,8 @@
 		for i := 0; i < t.n; i++ {
 			sub := &t.subs[i]
 			w := sub.to
-			if sub.out && !w.silent && w.heard < sub.sent &&
-				float64(s.now-sub.sent) > min(quietTimes*s.expected(t)*max(1, w.slow), float64(s.products[t.Product].sla)) {
+			quiet := min(quietTimes*s.expected(t)*max(1, w.slow), float64(s.products[t.Product].sla))
+			if sub.out && !w.silent && w.heard < sub.sent && float64(s.now-sub.sent) > quiet {
 				w.silent, w.nextTry = true, s.now+trickle
 			}
 		}
@@ -700,9 +595,6 @@
 		}
 	}
 	s.arrange()
-	if s.wantWatch && !s.watching && s.now >= s.watchAt {
-		s.watchAt = s.now // emit asks
-	}
 	s.look()
 	s.judge()
 }
@@ -729,10 +621,6 @@
 func (s *Sentry) News(now Nanos, n News) {
 	s.now = now
 	if n.Ending != OK {
-		if n.Answer {
-			s.votedAt = 0
-		}
-		s.emit()
 		return
 	}
 	old := s.capNow()
@@ -744,7 +632,7 @@
 		if n.Rel != s.news.Rel {
 			s.rises = 0
 		}
-		s.note(fmt.Sprintf("build %d stage %d phase %d cap %.3f", n.Rel, n.Stage, n.Phase, n.Cap))
+		s.out.Log(fmt.Sprintf("build %d stage %d phase %d cap %.3f", n.Rel, n.Stage, n.Phase, n.Cap))
 	}
 	s.news, s.newsAt = n, now
 	if n.Phase == GoingBack || n.Phase == Withdrawn {
@@ -759,18 +647,9 @@
 	s.emit()
 }
 
-// Tally takes the platform's own count.
-func (s *Sentry) Tally(now Nanos, t Tally) {
-	s.now = now
-	if t.Rel <= s.trial {
-		i := 0
-		if t.Rel == s.trial {
-			i = 1
-		}
-		s.tally[i].many += float64(t.Many)
-		s.tally[i].bad += float64(t.Bad)
-	}
-}
+// Tally takes the platform's own count. It names no worker and so cannot be told from a machine's trouble: it
+// is not used.
+func (s *Sentry) Tally(now Nanos, t Tally) {}
 
 // Contested takes that a client found an answer wrong: the submission erred after all.
 func (s *Sentry) Contested(now Nanos, p ProductID, id WorkerID, age Nanos) {
@@ -816,9 +695,9 @@
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := s.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
+	fails := s.pairs >= pairFloor && p < backLevel*min(1, manyPairs/s.pairs) && spread < spreadLevel
 	switch {
-	case s.pairs >= pairFloor && p < backLevel*min(1, manyPairs/s.pairs) && spread < spreadLevel || slow > slowBack,
-		s.now-s.draggedAt >= dragTime:
+	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -831,8 +710,14 @@
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
-		s.note(fmt.Sprintf("vote %d on build %d: %.0f pairs, %.1f against, %.1f for, p %.4f, spread %.4f; slower by %.1f, all by %.2f",
-			s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.drag))
+		s.out.Log(fmt.Sprintf("vote %d on build %d: %.0f pairs, %.1f against, %.1f for, p %.4f, spread %.4f; "+
+			"slower by %.1f, all by %.2f", s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.drag))
+	}
+	// Chance voting: all sentries together keep to the calls that the platform takes.
+	if s.now >= s.voteAt {
+		s.voteAt = s.now - s.now%Second + Second + Nanos(s.rng.Int63n(int64(Second)))
+		chance := s.num("release.votes-per-second", 1) / max(1, s.num("sentries", 1))
+		s.mayVote = s.rng.Float64() < chance
 	}
 }
 
@@ -881,85 +766,3 @@
 		s.draggedAt = s.now
 	}
 }
-
-func (s *Sentry) note(text string) { s.out.Log(text) }
-
-// ---- From what is wanted to what is done ----
-
-// emit does what is wanted and not yet so.
-func (s *Sentry) emit() {
-	for i := 0; i < len(s.touched); i++ {
-		at := s.touched[i]
-		t := &s.slab[at]
-		t.touched = false
-		if t.has == unanswered && t.want.to != nil {
-			if s.maySend(t, t.want.to) {
-				s.submit(t)
-			}
-			t.want.to = nil
-		}
-		if t.has == unanswered && t.want.answer != unanswered {
-			t.has = t.want.answer
-			if t.has == declined {
-				s.out.Decline(t.ID, s.span("allow.longest-retry-after", 0)/4)
-			} else {
-				s.out.Void(t.ID)
-			}
-		}
-		if t.want.wake > s.now && t.has == unanswered {
-			s.out.Remind(t.want.wake-s.now, uint64(at)|uint64(t.gen)<<32)
-			t.want.wake = 0
-		}
-		out := false
-		for k := 0; k < t.n; k++ {
-			if !t.subs[k].out {
-				continue
-			}
-			out = true
-			if t.has != unanswered && s.flag("allow.cancel") && t.want.answer != settled && t.stream != k+1 {
-				s.out.Cancel(t.ID, k)
-			}
-		}
-		if t.has != unanswered {
-			t.want.answer = settled // what was out is called off once
-			if !out {
-				delete(s.byID, t.ID)
-				s.free = append(s.free, at)
-			}
-		}
-	}
-	s.touched = s.touched[:0]
-	if s.wantWatch && !s.watching && s.now >= s.watchAt {
-		s.watching = true
-		s.out.Watch()
-	}
-	if s.wantVote != NoVote && s.now >= s.voteAt {
-		// Chance voting: all sentries together keep to the calls that the platform takes.
-		second := s.now - s.now%Second + Second
-		s.voteAt = second + Nanos(s.rng.Int63n(int64(Second)))
-		if s.rng.Float64() < s.num("release.votes-per-second", 1)/max(1, s.num("sentries", 1)) {
-			s.out.Vote(s.wantVote, s.trial, s.news.Stage)
-			s.votedAt = s.now
-		}
-	}
-	if s.now >= s.beatAt {
-		s.beatAt = s.now + beat
-		s.out.Remind(beat, 0)
-	}
-}
-
-// submit sends t to the worker that is wanted.
-func (s *Sentry) submit(t *txn) {
-	w := t.want.to
-	w.open++
-	if s.ramp(w) < 1 {
-		w.cold--
-	}
-	if s.onTrial(w.Rel) {
-		s.exposure[s.lane(t.Product)]--
-	}
-	t.subs[t.n] = submission{to: w, sent: s.now, rel: w.Rel, out: true, arm: t.want.arm,
-		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge}
-	t.n++
-	s.out.Submit(t.ID, w.ID, 0)
-}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,9 @@
 package logic
 
-import "math/rand"
+import (
+	"math/rand"
+	"strconv"
+)
 
 // What a sentry keeps. Nothing is decided here.
 
@@ -84,8 +87,9 @@
 		arm    arm
 		answer answer
 		wake   Nanos
+		retry  Nanos // with a decline
 	}
-	touched bool
+	touched, wound bool
 }
 
 // Sentry is one instance of the module.
@@ -130,11 +134,11 @@
 	rises, roseAt             int     // stages with a rise
 	scratch                   [2][]float64
 	side                      []*worker
-	kinds                     []pace                         // of earlier builds, by kind of machine
-	tally                     [2]struct{ many, bad float64 } // of earlier builds, of the trial
+	kinds                     []pace // of earlier builds, by kind of machine
 
 	wantVote            Verdict
-	voteAt, votedAt     Nanos
+	mayVote             bool // its moment has come
+	voteAt              Nanos
 	wantWatch, watching bool
 	watchAt, watchGap   Nanos
 	beatAt              Nanos
@@ -153,3 +157,75 @@
 }
 func (s *Sentry) flag(name string) bool   { v, _ := s.set[name].(bool); return v }
 func (s *Sentry) word(name string) string { v, _ := s.set[name].(string); return v }
+
+// readProducts picks the products from the settings.
+func (s *Sentry) readProducts() {
+	n := int(s.num("products.count", 0))
+	for i := 0; i < n; i++ {
+		at := "products." + strconv.Itoa(i) + "."
+		effect, group := s.word(at+"effect"), s.word(at+"group")
+		s.products = append(s.products, product{sla: s.span(at+"sla", Second), memory: s.span(at+"memory", 0),
+			revenue: s.num(at+"revenue", 1), inquiry: effect == "inquiry-like", ref: effect == "referenced",
+			anywhere: group == "all", byZone: group == "zone"})
+	}
+	s.exposure = make([]float64, 1)
+	if s.word("release.counts") == "product" {
+		s.exposure = make([]float64, max(1, n))
+	}
+}
+
+// lane is the count of exposure that a product falls under.
+func (s *Sentry) lane(p ProductID) int {
+	if len(s.exposure) > 1 {
+		return int(p)
+	}
+	return 0
+}
+
+// expected is the time that t should take at an ordinary worker.
+func (s *Sentry) expected(t *txn) float64 {
+	p := &s.products[t.Product]
+	if p.learnt == 0 {
+		return float64(p.sla) * firstTimes
+	}
+	return p.typical * float64(max(t.Cost, 1))
+}
+
+// hold finds a place in the slab for a txn.
+func (s *Sentry) hold(in Txn) int32 {
+	if len(s.free) == 0 {
+		s.slab = append(s.slab, txn{})
+		s.free = append(s.free, int32(len(s.slab)-1))
+	}
+	at := s.free[len(s.free)-1]
+	s.free = s.free[:len(s.free)-1]
+	s.slab[at] = txn{Txn: in, gen: s.slab[at].gen + 1}
+	s.byID[in.ID] = at
+	return at
+}
+
+// end marks a txn as over for the sentry, but for a submission that streams.
+func (s *Sentry) end(now Nanos, id TxnID, stream int) {
+	s.now = now
+	if at, held := s.byID[id]; held && stream <= s.slab[at].n {
+		s.slab[at].has, s.slab[at].stream = settled, stream
+		s.touch(at)
+	}
+	s.emit()
+}
+
+func (s *Sentry) touch(at int32) {
+	if !s.slab[at].touched {
+		s.slab[at].touched = true
+		s.touched = append(s.touched, at)
+	}
+}
+
+func (t *txn) tried(w *worker) bool {
+	for i := 0; i < t.n; i++ {
+		if t.subs[i].to == w {
+			return true
+		}
+	}
+	return false
+}
