Let the open limit settle where 8% of answers are slow; rest workers that fail

Cause of three incidents: the limit grew until 28% of answers were slow, and a worker that failed at once looked free (48% of sends in 2 of 17 workers). It should also catch any sudden lack of capacity; it could harm where work is so uneven that more than 8% are slow on an idle fleet.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,9 @@
 	coldUsed     = 0.8              // part of the cold budget that is used
 	crossTimes   = 15.0             // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
-	leastOpen    = 2.0 // txns that a worker may hold of this sentry, whatever it showed
+	leastOpen    = 1.2  // txns that a worker may hold of this sentry, whatever it showed
+	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
+	limitStep    = 0.2
 	firstOpen    = 8.0 // and may hold before it showed anything
 	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
 )
@@ -371,7 +373,7 @@
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
 			// be repeated now and then; this also brings back whatever has recovered.
 			if s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
-				cost *= 1000
+				continue
 			} else {
 				cost = 0
 			}
@@ -450,9 +452,9 @@
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
 		if o.Elapsed > p.sla*2/3 {
-			w.limit = max(leastOpen, w.limit*0.93)
+			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
 		} else if float64(w.open) >= w.limit/2 {
-			w.limit += 1 / w.limit
+			w.limit *= 1 + limitStep*slowShare
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
 		unit := float64(o.Elapsed) / float64(max(t.Cost, 1))
@@ -470,7 +472,7 @@
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
 		if o.Elapsed > p.sla {
-			w.limit = max(leastOpen, w.limit*0.93)
+			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
 		}
 		w.slow = max(w.slow, w.slow+0.15*(min(times, 20)-w.slow))
 	case Moot:
