--- a/logic/helper.go
+++ b/logic/helper.go
@@ -59,9 +59,9 @@
 	return &s.kinds[k]
 }
 
-// worstQuarter sums the largest quarter of the values, rounded up, if there are more than so many.
-func worstQuarter(values []float64, over float64) float64 {
-	if float64(len(values)) <= over {
+// worstQuarter sums the largest quarter of the values, rounded up; a lone one only where that is asked.
+func worstQuarter(values []float64, lone bool) float64 {
+	if len(values) == 0 || len(values) == 1 && !lone {
 		return 0
 	}
 	sort.Float64s(values)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,12 +40,13 @@
 	hedgeTimes   = 3.0              // typical times after which a second copy goes out
 	hedgeShare   = 0.06             // second copies a txn
 	againShare   = 0.25             // further submissions a txn
+	ailSlow      = 3.0              // times the usual time at which a worker ails
 	restAbove    = 0.35             // share of faults at which a worker rests
 	trickle      = 1 * Second       // between tries at a worker that is silent or rests
 	coldUsed     = 0.8              // part of the cold budget that is used
 	crossTimes   = 15.0             // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
-	leastOpen    = 1.2  // txns that a worker may hold of this sentry, whatever it showed
+	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
 	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
 	limitStep    = 0.2
 	firstOpen    = 8.0 // and may hold before it showed anything
@@ -675,8 +676,8 @@
 		return
 	}
 	// Danger: a few bad machines on either side pass for the build. So each side's worst quarter is left out, of
-	// the trial for a second look at a laxer level; a lone trial worker too while earlier builds fail as well.
-	ailing := 1.0
+	// the trial for a second look at a laxer level; a lone trial worker too while some of an earlier build ail.
+	s.ailing = false
 	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
 		w.against *= evidenceKept
@@ -685,14 +686,15 @@
 		}
 		if w.Rel == s.trial {
 			trials = append(trials, w.against)
-		} else if bases = append(bases, w.against); w.bad > restAbove/2 {
-			ailing = 0
+		} else {
+			bases = append(bases, w.against)
+			s.ailing = s.ailing || w.bad > restAbove/2 || w.slow > ailSlow*math.Exp(max(0, s.drag))
 		}
 	}
 	s.scratch[0], s.scratch[1] = trials, bases
 	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
-	favour := s.favour - worstQuarter(bases, 2)
-	p, spread := signTest(s.against, favour), signTest(s.against-worstQuarter(trials, ailing), favour)
+	favour := s.favour - worstQuarter(bases, false)
+	p, spread := signTest(s.against, favour), signTest(s.against-worstQuarter(trials, s.ailing), favour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
@@ -737,11 +739,14 @@
 	s.side = side
 	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
 	out := (len(side) + 2) / 4
+	if s.ailing {
+		out = (len(side) + 3) / 4
+	}
 	for _, w := range side[:out] {
 		all.join(w.times, -1)
 	}
 	all.parts = len(side) - out
-	if all.n < slowFloor {
+	if all.n < slowFloor || all.parts == 0 {
 		return 0
 	}
 	error := math.Sqrt(all.variance()/all.n + unlike*unlike/float64(all.parts))
@@ -753,7 +758,7 @@
 // should also catch a build that starves what all share; a fleet that fails bit by bit could pass for it.
 func (s *Sentry) look() {
 	if s.news.Phase != OnTrial || len(s.trials) == 0 {
-		s.calmRate, s.calmLevel = s.rate, s.calmLevel+0.01*(s.level-s.calmLevel)
+		s.calmLevel += 0.01 * (s.level - s.calmLevel)
 	}
 	s.drag = s.level - s.calmLevel
 	// Danger: replacing workers takes capacity away for as long as the new ones are cold, which slows all too.
@@ -764,7 +769,7 @@
 	if s.warmLevel = s.level; s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial || s.rate > 1.25*s.calmRate {
+	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -124,17 +124,18 @@
 	refilled Nanos
 	metTrial map[KeyID]struct{}
 
-	pairs, against, favour    float64
-	seen                      float64 // trial outcomes
-	level                     float64 // smoothed log of the times of earlier builds
-	levelAt, draggedAt        Nanos
-	calmRate, calmLevel, drag float64 // txns a second and level before the trial; the level's rise since
-	warmLevel, stageLevel     float64 // the level when last no worker was cold, and that at the start of the stage
-	usualErr                  float64 // share of errors of earlier builds
-	rises, roseAt             int     // stages with a rise
-	scratch                   [2][]float64
-	side                      []*worker
-	kinds                     []pace // of earlier builds, by kind of machine
+	pairs, against, favour float64
+	seen                   float64 // trial outcomes
+	level                  float64 // smoothed log of the times of earlier builds
+	levelAt, draggedAt     Nanos
+	calmLevel, drag        float64 // the level before the trial; its rise since
+	ailing                 bool    // a worker of an earlier build fails or is slow
+	warmLevel, stageLevel  float64 // the level when last no worker was cold, and that at the start of the stage
+	usualErr               float64 // share of errors of earlier builds
+	rises, roseAt          int     // stages with a rise
+	scratch                [2][]float64
+	side                   []*worker
+	kinds                  []pace // of earlier builds, by kind of machine
 
 	wantVote            Verdict
 	mayVote             bool // its moment has come
