Let bound keys use up the slice; take no slowness from one machine

Cause: keys bound to the trial came on top of its slice, crowded its one worker and made it look slow.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -286,33 +286,41 @@
 // choose picks the worker for t: by the pair's weighted round robin, toggle and rotation (steps 1 to 3) for a
 // first submission, else, and where the pair does not want it, the worker that should answer soonest.
 func (s *Sentry) choose(t *txn) (*worker, arm) {
-	if s.bound(t) && len(s.trials) > 0 {
-		return s.rotate(s.trials, t), noArm
-	}
 	takes := func(w *worker) bool { return s.maySend(t, w) }
-	if t.n == 0 && len(s.trials) > 0 && (len(s.bases) == 0 || slices.ContainsFunc(s.trials, takes)) {
+	bound := s.bound(t) && len(s.trials) > 0
+	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 || slices.ContainsFunc(s.trials, takes)) {
 		s.credit += s.tiltTrial + s.tiltBase
 		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
 		s.creditBase = min(s.creditBase+s.tiltBase, 2)
-		if s.credit >= 1 {
-			s.credit = min(s.credit-1, 1)
-			p := &s.products[t.Product]
-			p.toTrial = !p.toTrial
-			toTrial := p.toTrial
-			if s.creditBase < 0.5 || len(s.bases) == 0 { // each held to its even share
-				toTrial = true
-			} else if s.creditTrial < 0.5 {
-				toTrial = false
-			}
-			if toTrial {
-				if w := s.rotate(s.trials, t); w != nil {
-					s.creditTrial--
-					return w, trialArm
-				}
-			} else if w := s.rotate(s.bases, t); w != nil {
-				s.creditBase--
-				return w, baseArm
+	}
+	if bound {
+		// Danger: keys that the trial has met come on top of its slice and crowd its workers, which then look slow.
+		// So they use up the slice, and count as what they are, trial outcomes.
+		w := s.rotate(s.trials, t)
+		if w != nil && t.n == 0 {
+			s.credit, s.creditTrial = max(s.credit-1, -2), max(s.creditTrial-1, -2)
+			return w, trialArm
+		}
+		return w, noArm
+	}
+	if t.n == 0 && s.credit >= 1 && len(s.trials) > 0 {
+		s.credit = min(s.credit-1, 1)
+		p := &s.products[t.Product]
+		p.toTrial = !p.toTrial
+		toTrial := p.toTrial
+		if s.creditBase < 0.5 || len(s.bases) == 0 { // each held to its even share
+			toTrial = true
+		} else if s.creditTrial < 0.5 {
+			toTrial = false
+		}
+		if toTrial && s.creditTrial > 0 {
+			if w := s.rotate(s.trials, t); w != nil {
+				s.creditTrial--
+				return w, trialArm
 			}
+		} else if w := s.rotate(s.bases, t); w != nil {
+			s.creditBase--
+			return w, baseArm
 		}
 	}
 	if w := s.soonest(s.rest, t); w != nil {
@@ -726,7 +734,8 @@
 }
 
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
-// builds, on a log scale, without its slowest worker where there are several.
+// builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow machine is
+// likelier than that and the next stage brings others.
 func (s *Sentry) slowness() float64 {
 	var all spread
 	side := s.side[:0]
@@ -738,10 +747,7 @@
 	}
 	s.side = side
 	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
-	out := (len(side) + 2) / 4
-	if s.ailing {
-		out = (len(side) + 3) / 4
-	}
+	out := (len(side) + 3) / 4
 	for _, w := range side[:out] {
 		all.join(w.times, -1)
 	}
@@ -766,7 +772,7 @@
 		s.draggedAt = s.now
 		return
 	}
-	if s.warmLevel = s.level; s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
+	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
 	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial {
