--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,14 +23,14 @@
 	pairFloor    = 11.5             // pairs before 'back'
 	backLevel    = 0.01             // of the sign test of failures; stricter after
 	manyPairs    = 100.0            // as it looks often
-	spreadLevel  = 0.13             // of the same test without the trial's worst worker
+	spreadLevel  = 0.07             // of the same test without the worst workers
 	evidenceKept = 0.9977           // of the pairs, from beat to beat
 	holdLevel    = 0.10             // of the same test, under a clock
 	leadLevel    = 0.25             // a lead at this level stops 'on'
 	slowerBy     = 1.25             // a build this many times slower, at the most, is no worse
 	slowFloor    = 10.0             // trial times before they count
 	unlike       = 0.2              // deviation between like machines, on a log scale
-	slowBack     = 3.0              // standard errors by which the trial is slower still: 'back'
+	slowBack     = 3.5              // standard errors by which the trial is slower still: 'back'
 	slowStop     = 1.0              // and no 'on'
 	stakes       = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
 	rise         = 0.12             // rise of the log of all times that counts for its stage
@@ -702,14 +702,15 @@
 	s.scratch[0], s.scratch[1] = trials, bases
 	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
 	favour := s.favour - worstQuarter(bases, false)
-	p, spread := signTest(s.against, favour), signTest(s.against-worstQuarter(trials, s.ailing), favour)
+	p, spread := signTest(s.against, s.favour), signTest(s.against-worstQuarter(trials, s.ailing), favour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := s.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
-	fails := s.pairs >= pairFloor && p < backLevel*min(1, manyPairs/s.pairs) && spread < spreadLevel
+	level := backLevel * min(1, manyPairs/s.pairs)
+	fails := s.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
-	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime:
+	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -717,7 +718,7 @@
 			s.wantVote = Hold
 		}
 	case age >= s.span("release.bake", 0) && spread > leadLevel && slow < slowStop && enough &&
-		(s.drag < dragged || s.rises == 0):
+		(s.drag < dragged*3/4 || s.calm && s.rises == 0):
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
@@ -768,14 +769,15 @@
 	}
 	s.drag = s.level - s.calmLevel
 	// Danger: replacing workers takes capacity away for as long as the new ones are cold, which slows all too.
-	if slices.ContainsFunc(s.order, func(w *worker) bool { return w.State == Up && s.ramp(w) < 1 }) {
+	s.calm = !slices.ContainsFunc(s.order, func(w *worker) bool { return w.State == Up && s.ramp(w) < 1 })
+	if !s.calm {
 		s.draggedAt = s.now
 		return
 	}
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 2 || s.news.Phase != OnTrial {
+	if s.drag < dragged || s.rises < 1 || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
