--- a/logic/logic.go
+++ b/logic/logic.go
@@ -694,7 +694,10 @@
 			continue
 		}
 		if w.Rel == s.trial {
-			trials = append(trials, w.against)
+			// Danger: a build that fails only some time after its start is not cleared by younger workers.
+			if w.Start <= 0 || s.now-w.Start >= 2*s.span("rules.cold", 0) || w.against > 1 {
+				trials = append(trials, w.against)
+			}
 		} else {
 			bases = append(bases, w.against)
 			s.ailing = s.ailing || w.bad > restAbove/2 || w.slow > ailSlow*math.Exp(max(0, s.drag))
