--- a/logic/logic.go
+++ b/logic/logic.go
@@ -461,7 +461,8 @@
 	case OK:
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
-		if o.Elapsed > p.sla*2/3 {
+		// Waiting is what the limit governs: a txn that needs long by itself is no sign of it.
+		if o.Elapsed > p.sla*2/3 && times > 2 {
 			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
 		} else if float64(w.open) >= w.limit/2 {
 			w.limit *= 1 + limitStep*slowShare
