--- a/logic/helper.go
+++ b/logic/helper.go
@@ -59,14 +59,11 @@
 	return &s.kinds[k]
 }
 
-// worstQuarter sums the largest quarter of the values, rounded up; a lone one only where that is asked.
-func worstQuarter(values []float64, lone bool) float64 {
-	if len(values) == 0 || len(values) == 1 && !lone {
-		return 0
-	}
+// worst sums the n largest of the values.
+func worst(values []float64, n int) float64 {
 	sort.Float64s(values)
 	sum := 0.0
-	for i := 0; i < (len(values)+3)/4; i++ {
+	for i := 0; i < n; i++ {
 		sum += values[len(values)-1-i]
 	}
 	return sum
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -461,8 +461,7 @@
 	case OK:
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
-		// Waiting is what the limit governs: a txn that needs long by itself is no sign of it.
-		if o.Elapsed > p.sla*2/3 && times > 2 {
+		if o.Elapsed > p.sla*2/3 {
 			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
 		} else if float64(w.open) >= w.limit/2 {
 			w.limit *= 1 + limitStep*slowShare
@@ -685,8 +684,8 @@
 	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
 		return
 	}
-	// Danger: a few bad machines on either side pass for the build. So each side's worst quarter is left out, of
-	// the trial for a second look at a laxer level; a lone trial worker too while some of an earlier build ail.
+	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side
+	// are left out as are a quarter of the trial, for a second look; a lone one only while others ail as well.
 	s.ailing = false
 	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
@@ -706,8 +705,12 @@
 	}
 	s.scratch[0], s.scratch[1] = trials, bases
 	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
-	favour := s.favour - worstQuarter(bases, false)
-	p, spread := signTest(s.against, s.favour), signTest(s.against-worstQuarter(trials, s.ailing), favour)
+	out := (len(trials) + 3) / 4
+	if len(trials) == 1 && !s.ailing {
+		out = 0
+	}
+	trimmed := s.favour - worst(bases, min(max(out, 1), len(bases)-1))
+	p, spread := signTest(s.against, s.favour), signTest(s.against-worst(trials, out), trimmed)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
