--- a/logic/helper.go
+++ b/logic/helper.go
@@ -69,8 +69,8 @@
 	return sum
 }
 
-func errShare(e Ending) float64 {
-	if e == Erred {
+func bit(b bool) float64 {
+	if b {
 		return 1
 	}
 	return 0
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 	pairFloor    = 11.5             // pairs before 'back'
 	backLevel    = 0.01             // of the sign test of failures; stricter after
 	manyPairs    = 100.0            // as it looks often
-	spreadLevel  = 0.07             // of the same test without the worst workers
+	spreadLevel  = 0.04             // of the same test without the worst workers
 	evidenceKept = 0.9977           // of the pairs, from beat to beat
 	holdLevel    = 0.10             // of the same test, under a clock
 	leadLevel    = 0.25             // a lead at this level stops 'on'
@@ -49,6 +49,7 @@
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
 	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
+	usualTimes   = 2.0  // of what workers held in good times, which they may hold at any time
 	limitStep    = 0.2
 	firstOpen    = 8.0 // and may hold before it showed anything
 	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
@@ -360,7 +361,9 @@
 // room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
 // that what could only be late is declined early, whatever the lack comes from; repeats get less of it.
 func (s *Sentry) room(w *worker, t *txn) bool {
-	limit := w.limit
+	// Danger: a limit that storms have pushed down stays there where long txns are common. What workers held
+	// while nothing was declined and few answers were slow is allowed at any time.
+	limit := max(w.limit, usualTimes*s.usual)
 	if t.n > 0 {
 		limit *= 0.8
 	}
@@ -442,6 +445,9 @@
 		return
 	}
 	t.want.answer = voided
+	if t.n == 0 {
+		s.declinedAt = s.now
+	}
 	if s.mayDecline(t) {
 		t.want.answer, t.want.retry = declined, s.span("allow.longest-retry-after", 0)/4
 	}
@@ -461,6 +467,7 @@
 	case OK:
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
+		s.late += 0.02 * (bit(o.Elapsed > p.sla*2/3) - s.late)
 		if o.Elapsed > p.sla*2/3 {
 			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
 		} else if float64(w.open) >= w.limit/2 {
@@ -500,7 +507,7 @@
 		}
 	}
 	if !s.onTrial(sub.rel) && sub.rel < s.trial {
-		s.usualErr += 0.005 * (errShare(o.Ending) - s.usualErr)
+		s.usualErr += 0.005 * (bit(o.Ending == Erred) - s.usualErr)
 	} else if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
 		s.pairs++
 		if o.Ending == Erred {
@@ -582,6 +589,13 @@
 	s.beatAt = s.now + beat
 	s.rate += (float64(s.taken)/(float64(beat)/float64(Second)) - s.rate) * 0.02
 	s.taken = 0
+	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
+		held := 0
+		for _, w := range s.order {
+			held += w.open
+		}
+		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
+	}
 	for at := range s.slab {
 		t := &s.slab[at]
 		for i := 0; i < t.n; i++ {
--- a/logic/state.go
+++ b/logic/state.go
@@ -116,6 +116,8 @@
 	rate                float64 // txns a second
 	taken               int
 	hedges, agains      float64 // further submissions left
+	usual, late         float64 // txns a worker holds in good times; share of slow answers
+	declinedAt          Nanos
 
 	news     News
 	newsAt   Nanos
