--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,7 +49,7 @@
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
 	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
-	usualTimes   = 2.0  // of what workers held in good times, which they may hold at any time
+	usualTimes   = 1.5  // of what workers held in good times, which they may hold at any time
 	limitStep    = 0.2
 	firstOpen    = 8.0 // and may hold before it showed anything
 	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
@@ -592,7 +592,7 @@
 	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
 		held := 0
 		for _, w := range s.order {
-			held += w.open
+			held += min(w.open, int(w.limit))
 		}
 		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
 	}
