--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,34 +18,34 @@
 
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
-	beat         = 50 * Millisecond // housekeeping
-	warmUpAge    = 1 * Second       // younger workers of the pair give no evidence
-	pairFloor    = 11.5             // pairs before 'back'
-	backLevel    = 0.01             // of the sign test of failures; stricter after
-	manyPairs    = 100.0            // as it looks often
-	spreadLevel  = 0.04             // of the same test without the worst workers
-	evidenceKept = 0.9977           // of the pairs, from beat to beat
-	holdLevel    = 0.10             // of the same test, under a clock
-	leadLevel    = 0.25             // a lead at this level stops 'on'
-	slowerBy     = 1.25             // a build this many times slower, at the most, is no worse
-	slowFloor    = 10.0             // trial times before they count
-	unlike       = 0.2              // deviation between like machines, on a log scale
-	slowBack     = 3.5              // standard errors by which the trial is slower still: 'back'
-	slowStop     = 1.0              // and no 'on'
-	stakes       = 24.0             // trial outcomes that 'on' needs for a next stage on the whole fleet
-	rise         = 0.12             // rise of the log of all times that counts for its stage
-	dragged      = 0.4              // rise at which a build is taken to slow all
-	dragTime     = 3 * Second       // and for how long
-	quietTimes   = 5.0              // typical times without a word after which a worker is silent
-	hedgeTimes   = 3.0              // typical times after which a second copy goes out
-	hedgeShare   = 0.06             // second copies a txn
-	againShare   = 0.25             // further submissions a txn
-	ailSlow      = 3.0              // times the usual time at which a worker ails
-	restAbove    = 0.35             // share of faults at which a worker rests
-	trickle      = 1 * Second       // between tries at a worker that is silent or rests
-	coldUsed     = 0.8              // part of the cold budget that is used
-	forget       = 0.005            // of what a worker showed, from beat to beat
-	crossTimes   = 15.0             // a crossing counts as this many times its price in waiting
+	beat         = 100 * Millisecond // housekeeping
+	warmUpAge    = 1 * Second        // younger workers of the pair give no evidence
+	pairFloor    = 11.5              // pairs before 'back'
+	backLevel    = 0.01              // of the sign test of failures; stricter after
+	manyPairs    = 100.0             // as it looks often
+	spreadLevel  = 0.04              // of the same test without the worst workers
+	evidenceKept = 0.9977            // of the pairs, from beat to beat
+	holdLevel    = 0.10              // of the same test, under a clock
+	leadLevel    = 0.25              // a lead at this level stops 'on'
+	slowerBy     = 1.25              // a build this many times slower, at the most, is no worse
+	slowFloor    = 10.0              // trial times before they count
+	unlike       = 0.2               // deviation between like machines, on a log scale
+	slowBack     = 3.5               // standard errors by which the trial is slower still: 'back'
+	slowStop     = 1.0               // and no 'on'
+	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
+	rise         = 0.12              // rise of the log of all times that counts for its stage
+	dragged      = 0.4               // rise at which a build is taken to slow all
+	dragTime     = 3 * Second        // and for how long
+	quietTimes   = 5.0               // typical times without a word after which a worker is silent
+	hedgeTimes   = 3.0               // typical times after which a second copy goes out
+	hedgeShare   = 0.06              // second copies a txn
+	againShare   = 0.25              // further submissions a txn
+	ailSlow      = 3.0               // times the usual time at which a worker ails
+	restAbove    = 0.35              // share of faults at which a worker rests
+	trickle      = 1 * Second        // between tries at a worker that is silent or rests
+	coldUsed     = 0.8               // part of the cold budget that is used
+	forget       = 0.005             // of what a worker showed, from beat to beat
+	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
 	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
@@ -557,11 +557,9 @@
 	}
 }
 
-// Streaming takes the start of a streamed answer: the txn is the client's now.
+// Streaming takes the start of a streamed answer, which is the client's now; Left, that a client has left.
 func (s *Sentry) Streaming(now Nanos, id TxnID, number int) { s.end(now, id, number+1) }
-
-// Left takes that a client has left.
-func (s *Sentry) Left(now Nanos, id TxnID) { s.end(now, id, 0) }
+func (s *Sentry) Left(now Nanos, id TxnID)                  { s.end(now, id, 0) }
 
 // Timer takes a timer: the beat, or a txn that has waited for long.
 func (s *Sentry) Timer(now Nanos, token uint64) {
@@ -586,16 +584,8 @@
 // onBeat looks after what no event brings up: silent workers, rates, the watch, votes.
 func (s *Sentry) onBeat() {
 	s.refill()
-	s.beatAt = s.now + beat
 	s.rate += (float64(s.taken)/(float64(beat)/float64(Second)) - s.rate) * 0.02
 	s.taken = 0
-	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
-		held := 0
-		for _, w := range s.order {
-			held += min(w.open, int(w.limit))
-		}
-		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
-	}
 	for at := range s.slab {
 		t := &s.slab[at]
 		for i := 0; i < t.n; i++ {
@@ -605,21 +595,24 @@
 			if sub.out && !w.silent && w.heard < sub.sent && float64(s.now-sub.sent) > quiet {
 				w.silent, w.nextTry = true, s.now+trickle
 			}
+			// What a silent worker holds goes out again where a repeat does no harm, whatever keeps it silent.
+			if sub.out && w.silent && t.n == 1 && t.has == unanswered && s.agains >= 1 {
+				if s.place(int32(at)); t.want.to != nil {
+					s.agains--
+				}
+			}
 		}
 	}
-	// What a silent worker holds goes out again where a repeat does no harm, whatever keeps it silent.
-	for at := range s.slab {
-		t := &s.slab[at]
-		if t.n == 1 && t.has == unanswered && t.subs[0].out && t.subs[0].to.silent && s.agains >= 1 {
-			s.agains--
-			s.place(int32(at))
-		}
-	}
+	held := 0
 	for _, w := range s.order {
+		held += min(w.open, int(w.limit))
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
 		w.slow += forget * (1 - w.slow)
 	}
+	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
+		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
+	}
 	s.arrange()
 	s.look()
 	s.judge()
@@ -673,8 +666,7 @@
 	s.emit()
 }
 
-// Tally takes the platform's own count. It names no worker and so cannot be told from a machine's trouble: it
-// is not used.
+// Tally takes the platform's own count: it names no worker, so a machine's trouble passes for the build's. Unused.
 func (s *Sentry) Tally(now Nanos, t Tally) {}
 
 // Contested takes that a client found an answer wrong: the submission erred after all.
