--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
 	rise         = 0.12              // rise of the log of all times that counts for its stage
 	dragged      = 0.4               // rise at which a build is taken to slow all
+	lacks        = 0.15              // of the usual workers missing or ailing, which explains a drag
 	dragTime     = 3 * Second        // and for how long
 	quietTimes   = 5.0               // typical times without a word after which a worker is silent
 	hedgeTimes   = 3.0               // typical times after which a second copy goes out
@@ -130,12 +131,12 @@
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
 	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
-	up, all, trial := 0, 0.0, 0.0
+	up, newest, fit, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range s.order {
 		if w.State != Up {
 			continue
 		}
-		up++
+		up, newest, fit = up+1, newest+bit(w.Rel == s.trial), fit+bit(s.fit(w))
 		all += s.ramp(w)
 		if s.onTrial(w.Rel) {
 			if w.Rel == s.trial {
@@ -146,7 +147,12 @@
 		}
 		s.rest = append(s.rest, w)
 	}
-	s.fleet = max(s.fleet*0.995, float64(up))
+	// The load is carried by all workers, or, where the earlier ones stay beside, by as many as either build has.
+	s.lacking = fit < (1-lacks)*s.fleet
+	if s.word("release.style") == "beside" {
+		up = max(newest, up-newest)
+	}
+	s.fleet = max(s.fleet*0.999, up)
 	s.tiltTrial, s.tiltBase = 0, 0
 	if len(s.trials) == 0 || all <= 0 {
 		return
@@ -791,7 +797,7 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 1 || s.news.Phase != OnTrial {
+	if s.drag < dragged || s.rises < 1 || s.lacking || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -131,7 +131,7 @@
 	level                  float64 // smoothed log of the times of earlier builds
 	levelAt, draggedAt     Nanos
 	calmLevel, drag        float64 // the level before the trial; its rise since
-	ailing, calm           bool    // a worker of an earlier build fails or is slow; no worker is cold
+	ailing, calm, lacking  bool    // an earlier build's worker fails or is slow; no worker is cold; too few workers
 	warmLevel, stageLevel  float64 // the level when last no worker was cold, and that at the start of the stage
 	usualErr               float64 // share of errors of earlier builds
 	rises, roseAt          int     // stages with a rise
