--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	backLevel    = 0.01              // of the sign test of failures; stricter after
 	manyPairs    = 100.0             // as it looks often
 	spreadLevel  = 0.04              // of the same test without the worst workers
-	evidenceKept = 0.9977            // of the pairs, from beat to beat
+	evidenceKept = 0.9954            // of the pairs, from beat to beat
 	holdLevel    = 0.10              // of the same test, under a clock
 	leadLevel    = 0.25              // a lead at this level stops 'on'
 	slowerBy     = 1.25              // a build this many times slower, at the most, is no worse
@@ -136,7 +136,7 @@
 		if w.State != Up {
 			continue
 		}
-		up, newest, fit = up+1, newest+bit(w.Rel == s.trial), fit+bit(s.fit(w))
+		up, newest, fit = up+1, newest+bit(w.Rel == s.trial), fit+bit(w.bad < restAbove)
 		all += s.ramp(w)
 		if s.onTrial(w.Rel) {
 			if w.Rel == s.trial {
@@ -678,15 +678,10 @@
 // Contested takes that a client found an answer wrong: the submission erred after all.
 func (s *Sentry) Contested(now Nanos, p ProductID, id WorkerID, age Nanos) {
 	s.now = now
-	w := s.workers[id]
-	if w == nil || w.Start > now-age {
-		return
-	}
-	s.pairs++
-	if w.Rel == s.trial {
-		s.against++
-	} else {
-		s.favour++
+	if w := s.workers[id]; w != nil && w.Start <= now-age {
+		s.pairs++
+		s.against += bit(w.Rel == s.trial)
+		s.favour += bit(w.Rel != s.trial)
 	}
 }
 
