--- a/logic/emit.go
+++ b/logic/emit.go
@@ -36,6 +36,10 @@
 		s.watching = true
 		s.out.Watch()
 	}
+	if s.wantTell {
+		s.wantTell = false
+		s.out.Tell(s.own.pack(s.trial))
+	}
 	if s.wantVote != NoVote && s.mayVote {
 		s.mayVote = false
 		s.out.Vote(s.wantVote, s.trial, s.news.Stage)
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -10,7 +10,8 @@
 type tape struct {
 	lines []string
 	sent  map[WorkerID]int
-	mute  bool // count only
+	told  []byte // the last message
+	mute  bool   // count only
 	total int
 }
 
@@ -33,6 +34,7 @@
 func (k *tape) Remind(after Nanos, token uint64)     {}
 func (k *tape) Vote(v Verdict, rel RelID, stage int) { k.put("vote %d %d %d", v, rel, stage) }
 func (k *tape) Watch()                               { k.put("watch") }
+func (k *tape) Tell(data []byte)                     { k.told = append(k.told[:0], data...) }
 func (k *tape) Log(text string)                      {}
 
 func (k *tape) count(prefix string) int {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,7 @@
 // workers are trusted, and how the sentry votes on a new build.
 //
 // How it is called: the host makes a Sentry with New and hands it each event by the method named for it
-// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming), each with the clock. Those
+// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming, Told), each with the clock. Those
 // set down what is wanted; emit, at the end of each, turns the difference to what is into actions on the
 // Sink. Ids, events and the Sink are in types.go. docs/design.md tells what follows the paper and why.
 package logic
@@ -37,6 +37,7 @@
 	dragged      = 0.4               // rise at which a build is taken to slow all
 	lacks        = 0.15              // of the usual workers missing or ailing, which explains a drag
 	dragTime     = 3 * Second        // and for how long
+	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
 	quietTimes   = 5.0               // typical times without a word after which a worker is silent
 	hedgeTimes   = 3.0               // typical times after which a second copy goes out
 	hedgeShare   = 0.06              // second copies a txn
@@ -515,11 +516,11 @@
 	if !s.onTrial(sub.rel) && sub.rel < s.trial {
 		s.usualErr += 0.005 * (bit(o.Ending == Erred) - s.usualErr)
 	} else if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
-		s.pairs++
+		s.own.pairs++
 		if o.Ending == Erred {
-			s.lose(w, &s.against, 1-s.usualErr)
+			s.lose(w, &s.own.against, 1-s.usualErr)
 		} else if o.Ending == OK {
-			s.favour += s.usualErr
+			s.own.favour += s.usualErr
 		}
 		return
 	}
@@ -532,7 +533,7 @@
 	}
 	show := showing{good, w}
 	if sub.arm == trialArm {
-		s.seen++
+		s.own.seen++
 		if len(p.waiting) < 64 {
 			p.waiting = append(p.waiting, show)
 		}
@@ -545,11 +546,11 @@
 
 // pair counts one pair (step 4).
 func (s *Sentry) pair(trial, base showing) {
-	s.pairs++
+	s.own.pairs++
 	if trial.good && !base.good {
-		s.lose(base.worker, &s.favour, 1)
+		s.lose(base.worker, &s.own.favour, 1)
 	} else if base.good && !trial.good {
-		s.lose(trial.worker, &s.against, 1)
+		s.lose(trial.worker, &s.own.against, 1)
 	}
 }
 
@@ -630,7 +631,7 @@
 func (s *Sentry) newTrial(rel RelID) {
 	s.trial = rel
 	clear(s.metTrial)
-	s.pairs, s.against, s.favour, s.seen = 0, 0, 0, 0
+	s.own = evidence{}
 	for _, w := range s.order {
 		w.against, w.times = 0, spread{}
 	}
@@ -679,9 +680,18 @@
 func (s *Sentry) Contested(now Nanos, p ProductID, id WorkerID, age Nanos) {
 	s.now = now
 	if w := s.workers[id]; w != nil && w.Start <= now-age {
-		s.pairs++
-		s.against += bit(w.Rel == s.trial)
-		s.favour += bit(w.Rel != s.trial)
+		s.own.pairs++
+		s.own.against += bit(w.Rel == s.trial)
+		s.own.favour += bit(w.Rel != s.trial)
+	}
+}
+
+// Told takes what another sentry has seen of a build.
+func (s *Sentry) Told(now Nanos, from int, data []byte) {
+	s.now = now
+	if from >= 0 && from < len(s.peers) {
+		s.peers[from].unpack(data)
+		s.peers[from].at = now
 	}
 }
 
@@ -711,19 +721,29 @@
 		}
 	}
 	s.scratch[0], s.scratch[1] = trials, bases
-	s.pairs, s.against, s.favour = s.pairs*evidenceKept, s.against*evidenceKept, s.favour*evidenceKept
+	s.own.fade(evidenceKept)
 	out := (len(trials) + 3) / 4
 	if len(trials) == 1 && !s.ailing {
 		out = 0
 	}
-	trimmed := s.favour - worst(bases, min(max(out, 1), len(bases)-1))
-	p, spread := signTest(s.against, s.favour), signTest(s.against-worst(trials, out), trimmed)
+	s.own.leanFavour = s.own.favour - worst(bases, min(max(out, 1), len(bases)-1))
+	s.own.leanAgainst = s.own.against - worst(trials, out)
+	// Each sees a part only; where messages are allowed all judge by what all saw, so that the one that has seen
+	// least does not push a build that others see fail. Lost messages cost only their part of the evidence.
+	all := s.own
+	for i := range s.peers {
+		if e := &s.peers[i]; e.rel == s.trial && s.now-e.at < peerTrust {
+			all.add(e)
+		}
+	}
+	s.wantTell = s.flag("allow.messages") && s.own.pairs >= 1 && s.now/Second != (s.now-beat)/Second
+	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
-	enough := s.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
-	level := backLevel * min(1, manyPairs/s.pairs)
-	fails := s.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
+	enough := all.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
+	level := backLevel * min(1, manyPairs/all.pairs)
+	fails := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
 	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
@@ -739,7 +759,7 @@
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
 		s.out.Log(fmt.Sprintf("vote %d on build %d: %.0f pairs, %.1f against, %.1f for, p %.4f, spread %.4f; "+
-			"slower by %.1f, all by %.2f", s.wantVote, s.trial, s.pairs, s.against, s.favour, p, spread, slow, s.drag))
+			"slower by %.1f, all by %.2f", s.wantVote, s.trial, all.pairs, all.against, all.favour, p, spread, slow, s.drag))
 	}
 	// Chance voting: all sentries together keep to the calls that the platform takes.
 	if s.now >= s.voteAt {
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,8 @@
 package logic
 
 import (
+	"encoding/binary"
+	"math"
 	"math/rand"
 	"strconv"
 )
@@ -126,20 +128,21 @@
 	refilled Nanos
 	metTrial map[KeyID]struct{}
 
-	pairs, against, favour float64
-	seen                   float64 // trial outcomes
-	level                  float64 // smoothed log of the times of earlier builds
-	levelAt, draggedAt     Nanos
-	calmLevel, drag        float64 // the level before the trial; its rise since
-	ailing, calm, lacking  bool    // an earlier build's worker fails or is slow; no worker is cold; too few workers
-	warmLevel, stageLevel  float64 // the level when last no worker was cold, and that at the start of the stage
-	usualErr               float64 // share of errors of earlier builds
-	rises, roseAt          int     // stages with a rise
-	scratch                [2][]float64
-	side                   []*worker
-	kinds                  []pace // of earlier builds, by kind of machine
+	own                   evidence
+	peers                 []evidence // by their number
+	level                 float64    // smoothed log of the times of earlier builds
+	levelAt, draggedAt    Nanos
+	calmLevel, drag       float64 // the level before the trial; its rise since
+	ailing, calm, lacking bool    // an earlier build's worker fails or is slow; no worker is cold; too few workers
+	warmLevel, stageLevel float64 // the level when last no worker was cold, and that at the start of the stage
+	usualErr              float64 // share of errors of earlier builds
+	rises, roseAt         int     // stages with a rise
+	scratch               [2][]float64
+	side                  []*worker
+	kinds                 []pace // of earlier builds, by kind of machine
 
 	wantVote            Verdict
+	wantTell            bool
 	mayVote             bool // its moment has come
 	voteAt              Nanos
 	wantWatch, watching bool
@@ -171,6 +174,7 @@
 			revenue: s.num(at+"revenue", 1), inquiry: effect == "inquiry-like", ref: effect == "referenced",
 			anywhere: group == "all", byZone: group == "zone"})
 	}
+	s.peers = make([]evidence, max(0, int(s.num("sentries", 0))))
 	s.exposure = make([]float64, 1)
 	if s.word("release.counts") == "product" {
 		s.exposure = make([]float64, max(1, n))
@@ -232,3 +236,39 @@
 	}
 	return false
 }
+
+// evidence is what was seen of a build: pairs, discordant ones, those without the worst workers, trial outcomes.
+type evidence struct {
+	rel                                                   RelID
+	at                                                    Nanos
+	pairs, against, favour, leanAgainst, leanFavour, seen float64
+}
+
+func (e *evidence) fade(kept float64) {
+	e.pairs, e.against, e.favour = e.pairs*kept, e.against*kept, e.favour*kept
+}
+
+func (e *evidence) add(o *evidence) {
+	e.pairs, e.against, e.favour = e.pairs+o.pairs, e.against+o.against, e.favour+o.favour
+	e.leanAgainst, e.leanFavour, e.seen = e.leanAgainst+o.leanAgainst, e.leanFavour+o.leanFavour, e.seen+o.seen
+}
+
+// pack writes the evidence on a build as a message; unpack reads one, and leaves out what is none.
+func (e *evidence) pack(rel RelID) []byte {
+	data := binary.BigEndian.AppendUint16(nil, uint16(rel))
+	for _, v := range []float64{e.pairs, e.against, e.favour, e.leanAgainst, e.leanFavour, e.seen} {
+		data = binary.BigEndian.AppendUint16(data, uint16(min(max(v, 0)*10, math.MaxUint16)))
+	}
+	return data
+}
+
+func (e *evidence) unpack(data []byte) {
+	*e = evidence{}
+	if len(data) != 14 {
+		return
+	}
+	e.rel = RelID(binary.BigEndian.Uint16(data))
+	for i, v := range []*float64{&e.pairs, &e.against, &e.favour, &e.leanAgainst, &e.leanFavour, &e.seen} {
+		*v = float64(binary.BigEndian.Uint16(data[2+2*i:])) / 10
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -149,5 +149,6 @@
 	Remind(after Nanos, token uint64)
 	Vote(v Verdict, rel RelID, stage int)
 	Watch()
+	Tell(data []byte) // to all other sentries, at most 256 bytes
 	Log(text string)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -281,8 +282,12 @@
 		r.text(2, "worker")
 		call = func() {} // the module sends no probes
 	case "whisper":
-		r.num(2, "originPeer")
-		call = func() {} // the module exchanges no messages
+		from := int(r.num(2, "originPeer"))
+		data, err := base64.StdEncoding.DecodeString(r.optText(3, "data"))
+		if r.fault == nil && err != nil {
+			r.fault = fmt.Errorf("data is not base64: %w", err)
+		}
+		call = func() { s.Told(now, from, data) }
 	case "trialNews":
 		n := logic.News{Ending: r.ending(8)}
 		n.Stage, n.Answer = int(r.opt(2, "stage")), r.opt(3, "mark") == 1
@@ -394,5 +399,8 @@
 func (in *instance) Vote(v logic.Verdict, rel logic.RelID, stage int) {
 	in.act("vote", numText(v), numText(rel), numText(stage))
 }
-func (in *instance) Watch()          { in.act("watch", "true") }
+func (in *instance) Watch() { in.act("watch", "true") }
+func (in *instance) Tell(data []byte) {
+	in.act("broadcastTo", `"all"`, jsonText(base64.StdEncoding.EncodeToString(data)))
+}
 func (in *instance) Log(text string) { in.act("trace", jsonText(text)) }
