--- a/logic/logic.go
+++ b/logic/logic.go
@@ -702,7 +702,7 @@
 		return
 	}
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side
-	// are left out as are a quarter of the trial, for a second look; a lone one only while others ail as well.
+	// are left out as are a fifth of the trial, for a second look; a lone one only while others ail as well.
 	s.ailing = false
 	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
@@ -722,7 +722,7 @@
 	}
 	s.scratch[0], s.scratch[1] = trials, bases
 	s.own.fade(evidenceKept)
-	out := (len(trials) + 3) / 4
+	out := (len(trials) + 4) / 5
 	if len(trials) == 1 && !s.ailing {
 		out = 0
 	}
@@ -742,7 +742,7 @@
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := all.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
-	level := backLevel * min(1, manyPairs/all.pairs)
+	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
 	fails := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
 	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
@@ -752,7 +752,7 @@
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && spread > leadLevel && slow < slowStop && enough &&
+	case age >= s.span("release.bake", 0) && spread > leadLevel && (p > leadLevel || all.leanAgainst < 2) && slow < slowStop && enough &&
 		(s.drag < dragged*3/4 || s.calm && s.rises == 0):
 		s.wantVote = On
 	}
