--- a/logic/emit.go
+++ b/logic/emit.go
@@ -1,7 +1,7 @@
 package logic
 
-// emit turns the difference between what is wanted and what is into actions. Only the guards of logic.go stand
-// between; nothing is decided here.
+// emit turns the difference between what is wanted and what is into actions. Only the guards of logic.go
+// stand between; nothing is decided here.
 func (s *Sentry) emit() {
 	for i := 0; i < len(s.touched); i++ {
 		at := s.touched[i]
--- a/logic/helper.go
+++ b/logic/helper.go
@@ -1,7 +1,9 @@
 package logic
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -51,6 +53,17 @@
 func (v *spread) mean() float64     { return v.sum / v.n }
 func (v *spread) variance() float64 { return max(0, v.square/v.n-v.mean()*v.mean()) }
 
+// pooled sums the workers' times but for the slowest ones.
+func pooled(side []*worker, out int) spread {
+	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
+	var all spread
+	for _, w := range side[out:] {
+		all.join(w.times, 1)
+		all.parts++
+	}
+	return all
+}
+
 // kind gives the pace kept for a kind of machine.
 func (s *Sentry) kind(k KindID) *pace {
 	for int(k) >= len(s.kinds) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,9 +84,7 @@
 		s.watchGap = 0
 	}
 	if mode == Whole || mode == Restored {
-		for _, w := range s.order {
-			w.State = Gone // a worker that a whole list lacks is gone
-		}
+		s.allGone() // a worker that a whole list lacks is gone
 	}
 	for _, l := range list {
 		w := s.workers[l.ID]
@@ -96,9 +94,7 @@
 			s.enter(w)
 		}
 		w.Worker = l
-		if l.Rel > s.trial {
-			s.newTrial(l.Rel)
-		}
+		s.noticeTrial(l.Rel)
 	}
 	s.arrange()
 	s.emit()
@@ -148,7 +144,7 @@
 		}
 		s.rest = append(s.rest, w)
 	}
-	// The load is carried by all workers, or, where the earlier ones stay beside, by as many as either build has.
+	// All workers carry the load, or, where the earlier ones stay beside, as many as either build has.
 	s.lacking = fit < (1-lacks)*s.fleet
 	if s.word("release.style") == "beside" {
 		up = max(newest, up-newest)
@@ -462,8 +458,8 @@
 }
 
 // learn takes from an outcome what it tells of the worker, of usual times and of the pair. With no baseline
-// left, as after a release, each outcome of the trial meets the error share that earlier builds had. Then only
-// errors count: what is late or silent is as often the machine's or the load's doing.
+// left, as after a release, each trial outcome meets the error share that earlier builds had. Then only errors
+// count: what is late or silent is as often the machine's or the load's doing.
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
@@ -576,8 +572,8 @@
 		s.emit()
 		return
 	}
-	at := int32(token & 0xffffffff)
-	if int(at) >= len(s.slab) || s.slab[at].gen != uint32(token>>32) || s.slab[at].has != unanswered {
+	at, held := s.due(token)
+	if !held {
 		return
 	}
 	s.refill()
@@ -627,22 +623,6 @@
 
 // ---- The build on trial ----
 
-// newTrial starts all counts anew for a newer build.
-func (s *Sentry) newTrial(rel RelID) {
-	s.trial = rel
-	clear(s.metTrial)
-	s.own = evidence{}
-	for _, w := range s.order {
-		w.against, w.times = 0, spread{}
-	}
-	for i := range s.products {
-		s.products[i].waiting = s.products[i].waiting[:0]
-	}
-	for i := range s.exposure {
-		s.exposure[i] = min(s.exposure[i], 1)
-	}
-}
-
 // News takes what the platform tells of the newest build.
 func (s *Sentry) News(now Nanos, n News) {
 	s.now = now
@@ -650,9 +630,7 @@
 		return
 	}
 	old := s.capNow()
-	if n.Rel > s.trial {
-		s.newTrial(n.Rel)
-	}
+	s.noticeTrial(n.Rel)
 	if n.Rel != s.news.Rel || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
 		s.stageLevel, s.roseAt = s.warmLevel, -1
 		if n.Rel != s.news.Rel {
@@ -673,7 +651,7 @@
 	s.emit()
 }
 
-// Tally takes the platform's own count: it names no worker, so a machine's trouble passes for the build's. Unused.
+// Tally takes the platform's count: it names no worker, so a machine's trouble would pass for the build's.
 func (s *Sentry) Tally(now Nanos, t Tally) {}
 
 // Contested takes that a client found an answer wrong: the submission erred after all.
@@ -752,14 +730,16 @@
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && spread > leadLevel && (p > leadLevel || all.leanAgainst < 2) && slow < slowStop && enough &&
+	case age >= s.span("release.bake", 0) && enough && slow < slowStop &&
+		spread > leadLevel && (p > leadLevel || all.leanAgainst < 2) &&
 		(s.drag < dragged*3/4 || s.calm && s.rises == 0):
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
 		s.mode = mode
 		s.out.Log(fmt.Sprintf("vote %d on build %d: %.0f pairs, %.1f against, %.1f for, p %.4f, spread %.4f; "+
-			"slower by %.1f, all by %.2f", s.wantVote, s.trial, all.pairs, all.against, all.favour, p, spread, slow, s.drag))
+			"slower by %.1f, all by %.2f",
+			s.wantVote, s.trial, all.pairs, all.against, all.favour, p, spread, slow, s.drag))
 	}
 	// Chance voting: all sentries together keep to the calls that the platform takes.
 	if s.now >= s.voteAt {
@@ -770,24 +750,16 @@
 }
 
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
-// builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow machine is
-// likelier than that and the next stage brings others.
+// builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow machine
+// is likelier than that and the next stage brings others.
 func (s *Sentry) slowness() float64 {
-	var all spread
-	side := s.side[:0]
+	s.side = s.side[:0]
 	for _, w := range s.order {
 		if w.Rel == s.trial && w.times.n > 0 {
-			all.join(w.times, 1)
-			side = append(side, w)
+			s.side = append(s.side, w)
 		}
 	}
-	s.side = side
-	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
-	out := (len(side) + 3) / 4
-	for _, w := range side[:out] {
-		all.join(w.times, -1)
-	}
-	all.parts = len(side) - out
+	all := pooled(s.side, (len(s.side)+3)/4)
 	if all.n < slowFloor || all.parts == 0 {
 		return 0
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -133,7 +133,7 @@
 	level                 float64    // smoothed log of the times of earlier builds
 	levelAt, draggedAt    Nanos
 	calmLevel, drag       float64 // the level before the trial; its rise since
-	ailing, calm, lacking bool    // an earlier build's worker fails or is slow; no worker is cold; too few workers
+	ailing, calm, lacking bool    // a worker ails; none is cold; too few are there
 	warmLevel, stageLevel float64 // the level when last no worker was cold, and that at the start of the stage
 	usualErr              float64 // share of errors of earlier builds
 	rises, roseAt         int     // stages with a rise
@@ -237,7 +237,7 @@
 	return false
 }
 
-// evidence is what was seen of a build: pairs, discordant ones, those without the worst workers, trial outcomes.
+// evidence is what was seen of a build; lean: without the worst workers; seen: trial outcomes.
 type evidence struct {
 	rel                                                   RelID
 	at                                                    Nanos
@@ -272,3 +272,30 @@
 		*v = float64(binary.BigEndian.Uint16(data[2+2*i:])) / 10
 	}
 }
+
+// noticeTrial starts all counts anew for a newer build.
+func (s *Sentry) noticeTrial(rel RelID) {
+	if rel <= s.trial {
+		return
+	}
+	s.trial, s.own = rel, evidence{}
+	clear(s.metTrial)
+	for _, w := range s.order {
+		w.against, w.times = 0, spread{}
+	}
+	for i := range s.products {
+		s.products[i].waiting = s.products[i].waiting[:0]
+	}
+}
+
+func (s *Sentry) allGone() {
+	for _, w := range s.order {
+		w.State = Gone
+	}
+}
+
+// due finds the txn that a timer was set for, if it still waits.
+func (s *Sentry) due(token uint64) (int32, bool) {
+	at := int32(token & math.MaxUint32)
+	return at, int(at) < len(s.slab) && s.slab[at].gen == uint32(token>>32) && s.slab[at].has == unanswered
+}
