Decline with a tenth of the SLA time to come back; trim a third while others ail

Cause: what comes back late is late anyhow and crowds what is fresh. Longest time tried first: worse on all.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -447,12 +447,13 @@
 	if s.now < t.Expiry && slices.ContainsFunc(t.subs[:t.n], func(b submission) bool { return b.out }) {
 		return
 	}
+	// What comes back soon can still be settled within its SLA time.
 	t.want.answer = voided
 	if t.n == 0 {
 		s.declinedAt = s.now
 	}
 	if s.mayDecline(t) {
-		t.want.answer, t.want.retry = declined, s.span("allow.longest-retry-after", 0)/4
+		t.want.answer, t.want.retry = declined, min(s.products[t.Product].sla/10, s.span("allow.longest-retry-after", 0))
 	}
 	s.touch(at)
 }
@@ -680,7 +681,7 @@
 		return
 	}
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side
-	// are left out as are a fifth of the trial, for a second look; a lone one only while others ail as well.
+	// are left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
 	s.ailing = false
 	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
@@ -701,7 +702,9 @@
 	s.scratch[0], s.scratch[1] = trials, bases
 	s.own.fade(evidenceKept)
 	out := (len(trials) + 4) / 5
-	if len(trials) == 1 && !s.ailing {
+	if s.ailing {
+		out = (len(trials) + 2) / 3
+	} else if len(trials) == 1 {
 		out = 0
 	}
 	s.own.leanFavour = s.own.favour - worst(bases, min(max(out, 1), len(bases)-1))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -207,7 +207,7 @@
 		for i := 0; i < 20; i++ {
 			r.take(inquiry, 5)
 		}
-		want(t, "declined with a time to come back", r.count("decline 20 250"), 1)
+		want(t, "declined with a time to come back", r.count("decline 20 100"), 1)
 		want(t, "sent to earlier builds", len(r.sent) <= 1, true)
 	})
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -42,7 +42,7 @@
 			`["reportFailure",3,"553760735d3a91c4"]`},
 		{"not run: declined in the end", knock + strings.Repeat("\n"+`["completed",3,"553760735d3a91c4",0,"10.0.0.2:7000",8,900,false]`, 1) +
 			"\n" + `["completed",3,"553760735d3a91c4",1,"10.0.0.2:7000",8,900,false,null]` +
-			"\n" + `["completed",3,"553760735d3a91c4",2,"10.0.0.2:7000",8,900,false,null]`, `["refuse",3,"553760735d3a91c4",100000]`},
+			"\n" + `["completed",3,"553760735d3a91c4",2,"10.0.0.2:7000",8,900,false,null]`, `["refuse",3,"553760735d3a91c4",30000]`},
 		{"stop and start in one batch", `["teardown",3]` + "\n" + initLine + "\n" + listLines + "\n" + knock, `["issue",3,`},
 		{"events of no use are passed over", `["countsByBuild",3,41,9,1,1000,"read",20]
 ["contested",3,"read","10.0.0.2:7000",100]
