--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,6 @@
 	hedgeTimes   = 3.0               // typical times after which a second copy goes out
 	hedgeShare   = 0.06              // second copies a txn
 	againShare   = 0.25              // further submissions a txn
-	ailSlow      = 3.0               // times the usual time at which a worker ails
 	restAbove    = 0.35              // share of faults at which a worker rests
 	trickle      = 1 * Second        // between tries at a worker that is silent or rests
 	coldUsed     = 0.8               // part of the cold budget that is used
@@ -696,7 +695,7 @@
 			}
 		} else {
 			bases = append(bases, w.against)
-			s.ailing = s.ailing || w.bad > restAbove/2 || w.slow > ailSlow*math.Exp(max(0, s.drag))
+			s.ailing = s.ailing || w.bad > restAbove/2
 		}
 	}
 	s.scratch[0], s.scratch[1] = trials, bases
