Count a decline as its SLA time in the level of all

It should also catch builds that take capacity without taking time; a surge within two stages could pass for one.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -450,6 +450,8 @@
 	t.want.answer = voided
 	if t.n == 0 {
 		s.declinedAt = s.now
+		// What is declined would have taken its SLA time at the least; or declines would hide what slows all.
+		s.level += 0.02 * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
 	}
 	if s.mayDecline(t) {
 		t.want.answer, t.want.retry = declined, min(s.products[t.Product].sla/10, s.span("allow.longest-retry-after", 0))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -273,6 +273,45 @@
 	}
 }
 
+// Danger: a build that slows all workers shows in no pair, and behind declines in no time either.
+func TestBuildThatSlowsAll(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		slow Nanos // added with each stage
+		vote string
+	}{{"slower with each stage", 100 * Millisecond, "vote 3 2 2"}, {"as fast as before", 0, "vote 1 2 2"}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(6, 0, 0)
+			r.run(400, inquiry, noKey, fine)
+			r.List(r.clock, Changes, []Worker{{ID: "trial00", Rel: 2}, {ID: "trial01", Rel: 2}})
+			for stage := 0; stage < 3; stage++ {
+				r.Sentry.News(r.clock, News{Rel: 2, Cap: 1, Stage: stage})
+				r.run(250, inquiry, noKey, func(string, int) (Ending, Nanos) {
+					return OK, 50*Millisecond + Nanos(stage)*c.slow
+				})
+			}
+			want(t, c.vote+" cast", r.count(c.vote) > 0, true)
+		})
+	}
+}
+
+func TestMessages(t *testing.T) {
+	r, other := newRig(6, 4, 1, "sentries", 2.0, "allow.messages", true), newRig(6, 4, 1, "sentries", 2.0)
+	r.run(100, inquiry, noKey, func(w string, i int) (Ending, Nanos) {
+		if strings.HasPrefix(w, "trial") {
+			return Erred, 10 * Millisecond
+		}
+		return OK, 50 * Millisecond
+	})
+	want(t, "told", len(r.told), 14)
+	other.Told(other.clock, 1, r.told)
+	other.Told(other.clock, 0, []byte("no evidence"))
+	other.Told(other.clock, 9, r.told)
+	other.wait(2 * Second)
+	want(t, "back by what another saw", other.count("vote 3 2 0") > 0, true)
+	want(t, "a sentry that may send none", len(other.told), 0)
+}
+
 func TestChanceVoting(t *testing.T) {
 	for _, c := range []struct {
 		name        string
