--- a/logic/logic.go
+++ b/logic/logic.go
@@ -526,7 +526,9 @@
 		return
 	}
 	good := o.Ending == OK && o.Elapsed <= 2*p.sla
-	if o.Ending == ConnectFailed || o.Ending == Cancelled && o.Elapsed <= 2*p.sla {
+	// Danger: a cold worker is late for being cold; only errors speak against it.
+	if o.Ending == ConnectFailed || o.Ending == Cancelled && o.Elapsed <= 2*p.sla ||
+		!good && o.Ending != Erred && s.ramp(w) < 1 {
 		return
 	}
 	show := showing{good, w}
