Let a surge of fresh demand explain a drag

Txns given up are taken off the demand, as their clients may come again; so a storm of repeats does not hide a build that slows all.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
 	rise         = 0.12              // rise of the log of all times that counts for its stage
 	dragged      = 0.4               // rise at which a build is taken to slow all
+	surge        = 1.2               // of the fresh demand before the trial, which explains one too
 	lacks        = 0.15              // of the usual workers missing or ailing, which explains a drag
 	dragTime     = 3 * Second        // and for how long
 	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
@@ -65,7 +66,6 @@
 	s.news.Rel = -1
 	s.wantWatch = s.word("discovery") == "ask"
 	s.hedges, s.agains = 5, 10
-	s.beatAt = now
 	s.emit()
 	return s
 }
@@ -266,15 +266,12 @@
 	t := &s.slab[at]
 	s.taken++
 	s.hedges, s.agains = min(s.hedges+hedgeShare, 20), min(s.agains+againShare, 50)
-	lane := s.lane(t.Product)
-	s.exposure[lane] += s.capNow()
+	s.exposure[s.lane(t.Product)] += s.capNow() // refill holds it to its depth
 	s.place(at)
 	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
 		t.want.wake = now + Nanos(min(hedgeTimes*s.expected(t)*math.Exp(max(0, s.drag)), float64(p.sla)/2))
 	}
 	s.emit()
-	deep := max(1, s.num("release.free", 0)/2)
-	s.exposure[lane] = min(s.exposure[lane], deep)
 }
 
 // place sets down where t goes next, or that it is given up.
@@ -446,22 +443,23 @@
 	if s.now < t.Expiry && slices.ContainsFunc(t.subs[:t.n], func(b submission) bool { return b.out }) {
 		return
 	}
-	// What comes back soon can still be settled within its SLA time.
 	t.want.answer = voided
+	s.turned++
 	if t.n == 0 {
 		s.declinedAt = s.now
 		// What is declined would have taken its SLA time at the least; or declines would hide what slows all.
 		s.level += 0.02 * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
 	}
 	if s.mayDecline(t) {
-		t.want.answer, t.want.retry = declined, min(s.products[t.Product].sla/10, s.span("allow.longest-retry-after", 0))
+		t.want.answer = declined // what comes back soon can still be settled within its SLA time
+		t.want.retry = min(s.products[t.Product].sla/10, s.span("allow.longest-retry-after", 0))
 	}
 	s.touch(at)
 }
 
 // learn takes from an outcome what it tells of the worker, of usual times and of the pair. With no baseline
-// left, as after a release, each trial outcome meets the error share that earlier builds had. Then only errors
-// count: what is late or silent is as often the machine's or the load's doing.
+// left, as after a release, each trial outcome meets the error share that earlier builds had. Then only
+// errors count: what is late or silent is as often the machine's or the load's doing.
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
@@ -592,7 +590,8 @@
 func (s *Sentry) onBeat() {
 	s.refill()
 	s.rate += (float64(s.taken)/(float64(beat)/float64(Second)) - s.rate) * 0.02
-	s.taken = 0
+	s.fresh += (float64(s.taken-s.turned)/(float64(beat)/float64(Second)) - s.fresh) * 0.05
+	s.taken, s.turned = 0, 0
 	for at := range s.slab {
 		t := &s.slab[at]
 		for i := 0; i < t.n; i++ {
@@ -683,8 +682,8 @@
 	if s.trial != s.news.Rel || s.news.Phase == GoingBack || s.news.Phase == Withdrawn {
 		return
 	}
-	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side
-	// are left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
+	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
+	// left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
 	s.ailing = false
 	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
 	for _, w := range s.order {
@@ -756,8 +755,8 @@
 }
 
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
-// builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow machine
-// is likelier than that and the next stage brings others.
+// builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow
+// machine is likelier than that and the next stage brings others.
 func (s *Sentry) slowness() float64 {
 	s.side = s.side[:0]
 	for _, w := range s.order {
@@ -779,6 +778,7 @@
 func (s *Sentry) look() {
 	if s.news.Phase != OnTrial || len(s.trials) == 0 {
 		s.calmLevel += 0.01 * (s.level - s.calmLevel)
+		s.calmFresh += 0.01 * (s.fresh - s.calmFresh)
 	}
 	s.drag = s.level - s.calmLevel
 	// Danger: replacing workers takes capacity away for as long as the new ones are cold, which slows all too.
@@ -790,7 +790,8 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 1 || s.lacking || s.news.Phase != OnTrial {
+	explained := s.lacking || s.calmFresh > 0 && s.fresh > surge*s.calmFresh
+	if s.drag < dragged || s.rises < 1 || explained || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -116,7 +116,8 @@
 	creditBase          float64
 	fleet               float64 // workers that usually carry the load
 	rate                float64 // txns a second
-	taken               int
+	taken, turned       int     // txns, and those given up: their clients may try again
+	fresh, calmFresh    float64 // txns a second less those; before the trial
 	hedges, agains      float64 // further submissions left
 	usual, late         float64 // txns a worker holds in good times; share of slow answers
 	declinedAt          Nanos
