--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	rise         = 0.12              // rise of the log of all times that counts for its stage
 	dragged      = 0.4               // rise at which a build is taken to slow all
 	surge        = 1.2               // of the fresh demand before the trial, which explains one too
-	lacks        = 0.15              // of the usual workers missing or ailing, which explains a drag
+	lacks        = 0.15              // of the usual capacity missing, which explains a drag
 	dragTime     = 3 * Second        // and for how long
 	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
 	quietTimes   = 5.0               // typical times without a word after which a worker is silent
@@ -127,12 +127,16 @@
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
 	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
-	up, newest, fit, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
+	up, newest, able, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range s.order {
 		if w.State != Up {
 			continue
 		}
-		up, newest, fit = up+1, newest+bit(w.Rel == s.trial), fit+bit(w.bad < restAbove)
+		up, newest = up+1, newest+bit(w.Rel == s.trial)
+		// A slowed fleet looks silent at times; what is unheard of for long is lost.
+		if w.bad < restAbove && (!w.silent || s.now-w.heard < 2*Second) {
+			able += s.ramp(w)
+		}
 		all += s.ramp(w)
 		if s.onTrial(w.Rel) {
 			if w.Rel == s.trial {
@@ -144,11 +148,13 @@
 		s.rest = append(s.rest, w)
 	}
 	// All workers carry the load, or, where the earlier ones stay beside, as many as either build has.
-	s.lacking = fit < (1-lacks)*s.fleet
 	if s.word("release.style") == "beside" {
 		up = max(newest, up-newest)
 	}
-	s.fleet = max(s.fleet*0.999, up)
+	if s.fleet += (up - s.fleet) * 0.003; s.fleet <= 1 {
+		s.fleet = up
+	}
+	s.lacking = able < (1-lacks)*s.fleet
 	s.tiltTrial, s.tiltBase = 0, 0
 	if len(s.trials) == 0 || all <= 0 {
 		return
@@ -448,7 +454,9 @@
 	if t.n == 0 {
 		s.declinedAt = s.now
 		// What is declined would have taken its SLA time at the least; or declines would hide what slows all.
-		s.level += 0.02 * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
+		if !s.lacking {
+			s.level += 0.02 * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
+		}
 	}
 	if s.mayDecline(t) {
 		t.want.answer = declined // what comes back soon can still be settled within its SLA time
@@ -501,7 +509,9 @@
 	// Times count against those of the earlier builds at the same moment, so that load does not.
 	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
-		s.level += 0.02 * (v - s.level)
+		if !s.lacking {
+			s.level += 0.02 * (v - s.level)
+		}
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := s.kind(w.Kind); !s.onTrial(sub.rel) {
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
@@ -737,7 +747,7 @@
 		}
 	case age >= s.span("release.bake", 0) && enough && slow < slowStop &&
 		spread > leadLevel && (p > leadLevel || all.leanAgainst < 2) &&
-		(s.drag < dragged*3/4 || s.calm && s.rises == 0):
+		(s.drag < dragged*3/4 || !s.lacking && s.rises == 0):
 		s.wantVote = On
 	}
 	if mode := int(s.trial)*8 + int(s.wantVote); s.wantVote != NoVote && mode != s.mode {
@@ -781,17 +791,15 @@
 		s.calmFresh += 0.01 * (s.fresh - s.calmFresh)
 	}
 	s.drag = s.level - s.calmLevel
-	// Danger: replacing workers takes capacity away for as long as the new ones are cold, which slows all too.
-	s.calm = !slices.ContainsFunc(s.order, func(w *worker) bool { return w.State == Up && s.ramp(w) < 1 })
-	if !s.calm {
+	// Danger: workers that are gone, ail or are cold take capacity away, which slows all too; so does a surge.
+	if s.lacking || s.calmFresh > 0 && s.fresh > surge*s.calmFresh {
 		s.draggedAt = s.now
 		return
 	}
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	explained := s.lacking || s.calmFresh > 0 && s.fresh > surge*s.calmFresh
-	if s.drag < dragged || s.rises < 1 || explained || s.news.Phase != OnTrial {
+	if s.drag < dragged || s.rises < 1 || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -134,7 +134,7 @@
 	level                 float64    // smoothed log of the times of earlier builds
 	levelAt, draggedAt    Nanos
 	calmLevel, drag       float64 // the level before the trial; its rise since
-	ailing, calm, lacking bool    // a worker ails; none is cold; too few are there
+	ailing, lacking       bool    // a worker ails; capacity is missing
 	warmLevel, stageLevel float64 // the level when last no worker was cold, and that at the start of the stage
 	usualErr              float64 // share of errors of earlier builds
 	rises, roseAt         int     // stages with a rise
