--- a/logic/helper.go
+++ b/logic/helper.go
@@ -25,7 +25,7 @@
 }
 
 // enter puts a worker into the map and, by its id, into the order; it takes the place of one with its id.
-func (s *Sentry) enter(w *worker) {
+func (s *Sentry) enter(w *worker) *worker {
 	_, known := s.workers[w.ID]
 	s.workers[w.ID] = w
 	at := sort.Search(len(s.order), func(i int) bool { return s.order[i].ID >= w.ID })
@@ -34,6 +34,7 @@
 		copy(s.order[at+1:], s.order[at:])
 	}
 	s.order[at] = w
+	return w
 }
 
 // spread sums up values for their mean and deviation.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -89,8 +89,7 @@
 		w := s.workers[l.ID]
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
-			w = &worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: 1}
-			s.enter(w)
+			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: 1})
 		}
 		w.Worker = l
 		s.noticeTrial(l.Rel)
@@ -154,7 +153,7 @@
 	if s.fleet += (up - s.fleet) * 0.003; s.fleet <= 1 {
 		s.fleet = up
 	}
-	s.lacking = able < (1-lacks)*s.fleet
+	s.lacking, s.heed = able < (1-lacks)*s.fleet, 0.02*bit(able >= (1-lacks)*s.fleet)
 	s.tiltTrial, s.tiltBase = 0, 0
 	if len(s.trials) == 0 || all <= 0 {
 		return
@@ -256,8 +255,7 @@
 	for _, w := range s.order {
 		if r := s.ramp(w); r < 1 {
 			deep := max(1.5, even*r*s.num("rules.fall-after", 0)/float64(Second)/2)
-			w.cold = min(deep, w.cold+even*r*float64(s.now-w.coldAt)/float64(Second))
-			w.coldAt = s.now
+			w.cold, w.coldAt = min(deep, w.cold+even*r*float64(s.now-w.coldAt)/float64(Second)), s.now
 		}
 	}
 }
@@ -313,8 +311,8 @@
 	if t.n == 0 && s.credit >= 1 && len(s.trials) > 0 {
 		s.credit = min(s.credit-1, 1)
 		p := &s.products[t.Product]
-		p.toTrial = !p.toTrial
-		toTrial := p.toTrial
+		toTrial := !p.toTrial
+		p.toTrial = toTrial
 		if s.creditBase < 0.5 || len(s.bases) == 0 { // each held to its even share
 			toTrial = true
 		} else if s.creditTrial < 0.5 {
@@ -454,9 +452,7 @@
 	if t.n == 0 {
 		s.declinedAt = s.now
 		// What is declined would have taken its SLA time at the least; or declines would hide what slows all.
-		if !s.lacking {
-			s.level += 0.02 * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
-		}
+		s.level += s.heed * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
 	}
 	if s.mayDecline(t) {
 		t.want.answer = declined // what comes back soon can still be settled within its SLA time
@@ -509,9 +505,7 @@
 	// Times count against those of the earlier builds at the same moment, so that load does not.
 	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
-		if !s.lacking {
-			s.level += 0.02 * (v - s.level)
-		}
+		s.level += s.heed * (v - s.level)
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := s.kind(w.Kind); !s.onTrial(sub.rel) {
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
@@ -664,7 +658,7 @@
 	s.emit()
 }
 
-// Tally takes the platform's count: it names no worker, so a machine's trouble would pass for the build's.
+// Tally takes the platform's count. It names no worker, so a machine would pass for the build: not used.
 func (s *Sentry) Tally(now Nanos, t Tally) {}
 
 // Contested takes that a client found an answer wrong: the submission erred after all.
@@ -759,8 +753,7 @@
 	// Chance voting: all sentries together keep to the calls that the platform takes.
 	if s.now >= s.voteAt {
 		s.voteAt = s.now - s.now%Second + Second + Nanos(s.rng.Int63n(int64(Second)))
-		chance := s.num("release.votes-per-second", 1) / max(1, s.num("sentries", 1))
-		s.mayVote = s.rng.Float64() < chance
+		s.mayVote = s.rng.Float64() < s.num("release.votes-per-second", 1)/max(1, s.num("sentries", 1))
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -135,6 +135,7 @@
 	levelAt, draggedAt    Nanos
 	calmLevel, drag       float64 // the level before the trial; its rise since
 	ailing, lacking       bool    // a worker ails; capacity is missing
+	heed                  float64 // weight of a txn in the level
 	warmLevel, stageLevel float64 // the level when last no worker was cold, and that at the start of the stage
 	usualErr              float64 // share of errors of earlier builds
 	rises, roseAt         int     // stages with a rise
