--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -295,6 +295,37 @@
 	}
 }
 
+// Danger: a cold worker is late for being cold, and a jam for lack of workers is no build's doing.
+func TestWhatIsNotTheBuild(t *testing.T) {
+	late := func(w string, i int) (Ending, Nanos) {
+		if strings.HasPrefix(w, "trial") {
+			return OK, 2500 * Millisecond
+		}
+		return OK, 50 * Millisecond
+	}
+	for _, c := range []struct {
+		name string
+		age  Nanos
+		back bool
+	}{{"late while cold", 1500 * Millisecond, false}, {"late when warm", 10 * Second, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(4, 0, 0)
+			r.run(200, inquiry, noKey, fine)
+			r.List(r.clock, Changes, []Worker{{ID: "trial00", Rel: 2, Start: r.clock - c.age},
+				{ID: "trial01", Rel: 2, Start: r.clock - c.age}})
+			r.Sentry.News(r.clock, News{Rel: 2, Cap: 1})
+			r.run(110, inquiry, noKey, late)
+			want(t, "back", r.count("vote 3") > 0, c.back)
+		})
+	}
+	t.Run("missing workers", func(t *testing.T) {
+		r := newRig(8, 2, 1)
+		want(t, "lacking at first", r.lacking, false)
+		r.List(r.clock, Changes, []Worker{{ID: "old00", Rel: 1, State: Gone}, {ID: "old01", Rel: 1, State: Gone}})
+		want(t, "lacking", r.lacking, true)
+	})
+}
+
 func TestMessages(t *testing.T) {
 	r, other := newRig(6, 4, 1, "sentries", 2.0, "allow.messages", true), newRig(6, 4, 1, "sentries", 2.0)
 	r.run(100, inquiry, noKey, func(w string, i int) (Ending, Nanos) {
