Renew a watch that falls silent; let the adapter speak every action

Danger: a subscription that breaks unsaid would leave a sentry with an old list; it should also catch a lost answer.

--- a/logic/emit.go
+++ b/logic/emit.go
@@ -32,8 +32,8 @@
 		}
 	}
 	s.touched = s.touched[:0]
-	if s.wantWatch && !s.watching && s.now >= s.watchAt {
-		s.watching = true
+	if s.wantWatch && s.now >= s.watchAt {
+		s.watchAt = s.now + s.span("rules.ask-within", 10*Second)
 		s.out.Watch()
 	}
 	if s.wantTell {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,9 +78,9 @@
 	if mode == NoList {
 		// Asking again at once would flood a service that is overloaded already.
 		s.watchGap = min(max(2*s.watchGap, Second), 4*Second)
-		s.watchAt, s.watching = now+s.watchGap/2+Nanos(s.rng.Int63n(int64(s.watchGap))), false
+		s.watchAt = now + s.watchGap/2 + Nanos(s.rng.Int63n(int64(s.watchGap)))
 	} else if mode != Restored {
-		s.watchGap = 0
+		s.watchGap, s.watchAt = 0, now+s.span("rules.ask-within", 10*Second) // a watch may fall silent
 	}
 	if mode == Whole || mode == Restored {
 		s.allGone() // a worker that a whole list lacks is gone
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -421,6 +421,18 @@
 		want(t, "not at once", r.count("watch"), 1)
 		r.wait(5 * Second)
 		want(t, "renewed once", r.count("watch"), 2)
+		r.List(r.clock, Changes, nil)
+		r.wait(9 * Second)
+		want(t, "not while it speaks", r.count("watch"), 2)
+		r.wait(3 * Second)
+		want(t, "renewed after silence", r.count("watch"), 3)
+	})
+	t.Run("a restart has nothing to spare on a trial", func(t *testing.T) {
+		r := newRig(0, 4, 0.1)
+		for i := 0; i < 5; i++ {
+			r.take(inquiry, 0)
+		}
+		want(t, "sent to the trial", len(r.sent), 0)
 	})
 	t.Run("a new machine under an old id is cold", func(t *testing.T) {
 		r := newRig(3, 0, 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -143,14 +143,14 @@
 	side                  []*worker
 	kinds                 []pace // of earlier builds, by kind of machine
 
-	wantVote            Verdict
-	wantTell            bool
-	mayVote             bool // its moment has come
-	voteAt              Nanos
-	wantWatch, watching bool
-	watchAt, watchGap   Nanos
-	beatAt              Nanos
-	mode                int
+	wantVote          Verdict
+	wantTell          bool
+	mayVote           bool // its moment has come
+	voteAt            Nanos
+	wantWatch         bool
+	watchAt, watchGap Nanos
+	beatAt            Nanos
+	mode              int
 }
 
 func (s *Sentry) num(name string, otherwise float64) float64 {
--- a/logic/types.go
+++ b/logic/types.go
@@ -148,7 +148,10 @@
 	Void(t TxnID)
 	Remind(after Nanos, token uint64)
 	Vote(v Verdict, rel RelID, stage int)
-	Watch()
+	Watch() // changes of the list from now on
+	Fetch() // the whole list, once
+	Probe(w WorkerID)
+	CloseIdle(w WorkerID)
 	Tell(data []byte) // to all other sentries, at most 256 bytes
 	Log(text string)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -280,6 +280,9 @@
 		call = func() { s.Timer(now, token) }
 	case "echo":
 		r.text(2, "worker")
+		r.ending(3)
+		r.time(4, "costTime")
+		in.load(r, 5)
 		call = func() {} // the module sends no probes
 	case "whisper":
 		from := int(r.num(2, "originPeer"))
@@ -399,7 +402,10 @@
 func (in *instance) Vote(v logic.Verdict, rel logic.RelID, stage int) {
 	in.act("vote", numText(v), numText(rel), numText(stage))
 }
-func (in *instance) Watch() { in.act("watch", "true") }
+func (in *instance) Watch()                     { in.act("watch", "true") }
+func (in *instance) Fetch()                     { in.act("getList") }
+func (in *instance) Probe(w logic.WorkerID)     { in.act("poll", idText(w)) }
+func (in *instance) CloseIdle(w logic.WorkerID) { in.act("closeIdle", idText(w)) }
 func (in *instance) Tell(data []byte) {
 	in.act("broadcastTo", `"all"`, jsonText(base64.StdEncoding.EncodeToString(data)))
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 	"testing"
+
+	"dunegrade/logic"
 )
 
 const initLine = `["init",3,42,{"balancers":1,"newThing":{"a":[1,{"b":null}]},"discovery":"ask","locality":"north",` +
@@ -102,6 +104,29 @@
 	}
 }
 
+func TestActions(t *testing.T) {
+	for _, c := range []struct {
+		act  func(in *instance)
+		line string
+	}{
+		{func(in *instance) { in.Submit(0xab, "a:1", 5000) }, `["issue",3,"00000000000000ab",5,"a:1"]`},
+		{func(in *instance) { in.Cancel(0xab, 1) }, `["abortAttempt",3,"00000000000000ab",1]`},
+		{func(in *instance) { in.Vote(logic.Back, 41, 2) }, `["vote",3,3,41,2]`},
+		{func(in *instance) { in.Remind(1_000_000, 1<<62) }, `["remind",3,1000,4611686018427387904]`},
+		{func(in *instance) { in.Fetch() }, `["getList",3]`},
+		{func(in *instance) { in.Probe("a:1") }, `["poll",3,"a:1"]`},
+		{func(in *instance) { in.CloseIdle("a:1") }, `["closeIdle",3,"a:1"]`},
+		{func(in *instance) { in.Tell([]byte("hi 7")) }, `["broadcastTo",3,"all","aGkgNw=="]`},
+		{func(in *instance) { in.Log("two\nlines") }, `["trace",3,"two\nlines"]`},
+	} {
+		var out bytes.Buffer
+		c.act(&instance{number: 3, out: &out})
+		if got := strings.TrimSpace(out.String()); got != c.line {
+			t.Errorf("got %s, want %s", got, c.line)
+		}
+	}
+}
+
 func TestFlatten(t *testing.T) {
 	got := map[string]any{}
 	flatten(got, "", "", map[string]any{
