Hold cold workers by share without a floor; tell a few gathering sentries, not all

Change: the bucket starts at a random part of one, grows by the even share of what this sentry has seen carried, and what it holds lapses. Evidence goes to six sentries, others for each build; only they vote 'on'. Covers also restarts of many workers and lists that reach all at once. Harm: where few txns are settled the cold share is low, so a fleet that starts all cold warms more slowly.

--- a/logic/emit.go
+++ b/logic/emit.go
@@ -36,10 +36,10 @@
 		s.watchAt = s.now + s.span("rules.ask-within", 10*Second)
 		s.out.Watch()
 	}
-	if s.wantTell {
-		s.wantTell = false
-		s.out.Tell(s.own.pack(s.trial))
+	for _, to := range s.tells {
+		s.out.Tell(to, s.own.pack(s.trial))
 	}
+	s.tells = s.tells[:0]
 	if s.wantVote != NoVote && s.mayVote {
 		s.mayVote = false
 		s.out.Vote(s.wantVote, s.trial, s.news.Stage)
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -37,7 +37,7 @@
 func (k *tape) Fetch()                               { k.put("fetch") }
 func (k *tape) Probe(w WorkerID)                     { k.put("probe %s", w) }
 func (k *tape) CloseIdle(w WorkerID)                 { k.put("close %s", w) }
-func (k *tape) Tell(data []byte)                     { k.told = append(k.told[:0], data...) }
+func (k *tape) Tell(to int, data []byte)             { k.told = append(k.told[:0], data...); k.put("tell %d", to) }
 func (k *tape) Log(text string)                      {}
 
 func (k *tape) count(prefix string) int {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	surge        = 1.2               // of the fresh demand before the trial, which explains one too
 	lacks        = 0.15              // of the usual capacity missing, which explains a drag
 	dragTime     = 3 * Second        // and for how long
+	gatherers    = 6                 // sentries that are told what others saw
 	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
 	quietTimes   = 5.0               // typical times without a word after which a worker is silent
 	hedgeTimes   = 3.0               // typical times after which a second copy goes out
@@ -45,7 +46,7 @@
 	againShare   = 0.25              // further submissions a txn
 	restAbove    = 0.35              // share of faults at which a worker rests
 	trickle      = 1 * Second        // between tries at a worker that is silent or rests
-	coldUsed     = 0.8               // part of the cold budget that is used
+	coldUsed     = 0.7               // part of the cold budget that is used
 	forget       = 0.005             // of what a worker showed, from beat to beat
 	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
@@ -89,7 +90,7 @@
 		w := s.workers[l.ID]
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
-			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: 1})
+			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: s.rng.Float64()})
 		}
 		w.Worker = l
 		s.noticeTrial(l.Rel)
@@ -251,10 +252,18 @@
 	for i := range s.exposure {
 		s.exposure[i] = min(deep, s.exposure[i]+dt*max(0, free-deep)/max(window, 0.001))
 	}
-	even := s.rate / max(1, s.fleet) * s.num("rules.fall-multiple", 1) * coldUsed
+	// Danger: any least amount is multiplied by the number of sentries. So a cold worker's bucket starts at a
+	// random part of one, grows by the even share of what this sentry has seen carried, and what it holds lapses.
+	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1) * coldUsed
+	half := s.span("rules.fall-after", 0) / 2
 	for _, w := range s.order {
 		if r := s.ramp(w); r < 1 {
-			deep := max(1.5, even*r*s.num("rules.fall-after", 0)/float64(Second)/2)
+			if w.cold < 1 {
+				w.ripeAt = s.now
+			} else if s.now-w.ripeAt > half {
+				w.cold, w.ripeAt = w.cold-1, s.now
+			}
+			deep := max(1, even*r*float64(half)/float64(Second))
 			w.cold, w.coldAt = min(deep, w.cold+even*r*float64(s.now-w.coldAt)/float64(Second)), s.now
 		}
 	}
@@ -390,9 +399,8 @@
 			// be repeated now and then; this also brings back whatever has recovered.
 			if s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
 				continue
-			} else {
-				cost = 0
 			}
+			cost = 0
 		}
 		if t.tried(w) {
 			cost *= 100
@@ -474,6 +482,7 @@
 	case OK:
 		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
+		s.done++
 		s.late += 0.02 * (bit(o.Elapsed > p.sla*2/3) - s.late)
 		if o.Elapsed > p.sla*2/3 {
 			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
@@ -593,9 +602,10 @@
 // onBeat looks after what no event brings up: silent workers, rates, the watch, votes.
 func (s *Sentry) onBeat() {
 	s.refill()
-	s.rate += (float64(s.taken)/(float64(beat)/float64(Second)) - s.rate) * 0.02
 	s.fresh += (float64(s.taken-s.turned)/(float64(beat)/float64(Second)) - s.fresh) * 0.05
-	s.taken, s.turned = 0, 0
+	s.beats++
+	s.carried += (float64(s.done)/(float64(beat)/float64(Second)) - s.carried) * max(0.02, 1/s.beats)
+	s.taken, s.turned, s.done = 0, 0, 0
 	for at := range s.slab {
 		t := &s.slab[at]
 		for i := 0; i < t.n; i++ {
@@ -723,7 +733,7 @@
 			all.add(e)
 		}
 	}
-	s.wantTell = s.flag("allow.messages") && s.own.pairs >= 1 && s.now/Second != (s.now-beat)/Second
+	gathers := s.gather()
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
@@ -739,7 +749,7 @@
 		if p < holdLevel {
 			s.wantVote = Hold
 		}
-	case age >= s.span("release.bake", 0) && enough && slow < slowStop &&
+	case gathers && age >= s.span("release.bake", 0) && enough && slow < slowStop &&
 		spread > leadLevel && (p > leadLevel || all.leanAgainst < 2) &&
 		(s.drag < dragged*3/4 || !s.lacking && s.rises == 0):
 		s.wantVote = On
@@ -757,6 +767,24 @@
 	}
 }
 
+// gather has what was seen told, once a second, to a few sentries, others for each build, and says whether this
+// one is to judge 'on'. Danger: telling all grows with the square of the sentries, and the one that was told
+// least would push a build that the others see fail.
+func (s *Sentry) gather() bool {
+	n := len(s.peers)
+	few := min(n, gatherers)
+	self := !s.flag("allow.messages") || few == n || s.word("release.votes") != "single"
+	s.tells = s.tells[:0]
+	for i := 0; i < few && s.flag("allow.messages"); i++ {
+		if at := (int(s.trial) + i*n/few) % n; at == int(s.num("index", -1)) {
+			self = true
+		} else if s.own.pairs >= 1 && s.now/Second != (s.now-beat)/Second {
+			s.tells = append(s.tells, at)
+		}
+	}
+	return self
+}
+
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
 // builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow
 // machine is likelier than that and the next stage brings others.
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,6 +59,7 @@
 	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
+	ripeAt    Nanos // since when that is one or more
 }
 
 // pace is the smoothed log of times over the typical ones.
@@ -115,8 +116,8 @@
 	creditTrial         float64
 	creditBase          float64
 	fleet               float64 // workers that usually carry the load
-	rate                float64 // txns a second
-	taken, turned       int     // txns, and those given up: their clients may try again
+	carried, beats      float64 // submissions settled a second; beats since the start
+	taken, turned, done int     // txns, those given up (their clients may try again), submissions settled
 	fresh, calmFresh    float64 // txns a second less those; before the trial
 	hedges, agains      float64 // further submissions left
 	usual, late         float64 // txns a worker holds in good times; share of slow answers
@@ -144,8 +145,8 @@
 	kinds                 []pace // of earlier builds, by kind of machine
 
 	wantVote          Verdict
-	wantTell          bool
-	mayVote           bool // its moment has come
+	tells             []int // sentries to tell what was seen
+	mayVote           bool  // its moment has come
 	voteAt            Nanos
 	wantWatch         bool
 	watchAt, watchGap Nanos
--- a/logic/types.go
+++ b/logic/types.go
@@ -152,6 +152,6 @@
 	Fetch() // the whole list, once
 	Probe(w WorkerID)
 	CloseIdle(w WorkerID)
-	Tell(data []byte) // to all other sentries, at most 256 bytes
+	Tell(to int, data []byte) // to the sentry of that number, at most 256 bytes
 	Log(text string)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -406,7 +406,7 @@
 func (in *instance) Fetch()                     { in.act("getList") }
 func (in *instance) Probe(w logic.WorkerID)     { in.act("poll", idText(w)) }
 func (in *instance) CloseIdle(w logic.WorkerID) { in.act("closeIdle", idText(w)) }
-func (in *instance) Tell(data []byte) {
-	in.act("broadcastTo", `"all"`, jsonText(base64.StdEncoding.EncodeToString(data)))
+func (in *instance) Tell(to int, data []byte) {
+	in.act("broadcastTo", numText(to), jsonText(base64.StdEncoding.EncodeToString(data)))
 }
 func (in *instance) Log(text string) { in.act("trace", jsonText(text)) }
