--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -116,7 +116,7 @@
 		{func(in *instance) { in.Fetch() }, `["getList",3]`},
 		{func(in *instance) { in.Probe("a:1") }, `["poll",3,"a:1"]`},
 		{func(in *instance) { in.CloseIdle("a:1") }, `["closeIdle",3,"a:1"]`},
-		{func(in *instance) { in.Tell(1, []byte("hi 7")) }, `["broadcastTo",3,"all","aGkgNw=="]`},
+		{func(in *instance) { in.Tell(1, []byte("hi 7")) }, `["broadcastTo",3,1,"aGkgNw=="]`},
 		{func(in *instance) { in.Log("two\nlines") }, `["trace",3,"two\nlines"]`},
 	} {
 		var out bytes.Buffer
