Pick workers by chance where each is seldom met; relax to zone and kind; tries as a share

Cause: a sentry that meets a worker every ten seconds followed stale queues and times with all its txns (the busiest server had 5.5 times the mean), and each silent worker drew a try a second from each of hundreds.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	hedgeTimes   = 3.0               // typical times after which a second copy goes out
 	hedgeShare   = 0.06              // second copies a txn
 	againShare   = 0.25              // further submissions a txn
+	tryShare     = 0.04              // tries at workers that are silent or rest, a txn
 	restAbove    = 0.35              // share of faults at which a worker rests
 	trickle      = 1 * Second        // between tries at a worker that is silent or rests
 	coldUsed     = 0.7               // part of the cold budget that is used
@@ -61,7 +62,7 @@
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now}
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, usuallySlow: map[place]*float64{}, blur: 0.5}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
@@ -90,7 +91,9 @@
 		w := s.workers[l.ID]
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
-			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: s.rng.Float64()})
+			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: s.rng.Float64(),
+				turn: s.rng.Float64()})
+			w.slow = *s.usualSlow(w)
 		}
 		w.Worker = l
 		s.noticeTrial(l.Rel)
@@ -279,6 +282,7 @@
 	t := &s.slab[at]
 	s.taken++
 	s.hedges, s.agains = min(s.hedges+hedgeShare, 20), min(s.agains+againShare, 50)
+	s.tries = min(s.tries+tryShare, 2)
 	s.exposure[s.lane(t.Product)] += s.capNow() // refill holds it to its depth
 	s.place(at)
 	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
@@ -396,8 +400,8 @@
 		}
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
-			// be repeated now and then; this also brings back whatever has recovered.
-			if s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
+			// be repeated now and then, as a share of all; this also brings back whatever has recovered.
+			if s.tries < 1 || s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
 				continue
 			}
 			cost = 0
@@ -405,12 +409,13 @@
 		if t.tried(w) {
 			cost *= 100
 		}
-		if cost *= 0.95 + 0.1*s.rng.Float64(); cost < least {
+		if cost *= math.Pow(s.rng.ExpFloat64(), s.blur); cost < least {
 			best, least = w, cost
 		}
 	}
 	if best != nil && !s.fit(best) {
 		best.nextTry = s.now + trickle
+		s.tries--
 	}
 	return best
 }
@@ -490,6 +495,7 @@
 			w.limit *= 1 + limitStep*slowShare
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
+		*s.usualSlow(w) += 0.03 * (min(times, 20) - *s.usualSlow(w))
 		unit := float64(o.Elapsed) / float64(max(t.Cost, 1))
 		// While a build is on trial the typical time stands still, or it would hide what the build does to all.
 		if p.learnt++; p.learnt < 100 || s.news.Phase == Released || len(s.trials) == 0 {
@@ -628,8 +634,11 @@
 		held += min(w.open, int(w.limit))
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
-		w.slow += forget * (1 - w.slow)
+		w.slow += forget * (*s.usualSlow(w) - w.slow)
+		w.queue *= 0.93
 	}
+	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
+	s.blur = min(0.5, 0.02+0.03*s.fleet/max(s.carried, 0.1))
 	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
 		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,6 +62,24 @@
 	ripeAt    Nanos // since when that is one or more
 }
 
+// place is a zone and a kind of machine.
+type place struct {
+	zone ZoneID
+	kind KindID
+}
+
+// usualSlow gives what workers of w's zone and kind take, over the typical time.
+func (s *Sentry) usualSlow(w *worker) *float64 {
+	at := place{w.Zone, w.Kind}
+	v := s.usuallySlow[at]
+	if v == nil {
+		v = new(float64)
+		*v = 1
+		s.usuallySlow[at] = v
+	}
+	return v
+}
+
 // pace is the smoothed log of times over the typical ones.
 type pace struct {
 	level float64
@@ -120,6 +138,9 @@
 	taken, turned, done int     // txns, those given up (their clients may try again), submissions settled
 	fresh, calmFresh    float64 // txns a second less those; before the trial
 	hedges, agains      float64 // further submissions left
+	tries               float64 // submissions left for workers that are not fit
+	blur                float64 // how much chance mixes into the pick of a worker
+	usuallySlow         map[place]*float64
 	usual, late         float64 // txns a worker holds in good times; share of slow answers
 	declinedAt          Nanos
 
