--- a/logic/helper.go
+++ b/logic/helper.go
@@ -65,12 +65,22 @@
 	return all
 }
 
-// kind gives the pace kept for a kind of machine.
-func (s *Sentry) kind(k KindID) *pace {
-	for int(k) >= len(s.kinds) {
-		s.kinds = append(s.kinds, pace{})
+// poisson is the chance of at least so many where mean are expected.
+func poisson(many, mean float64) float64 {
+	p, term := 1.0, math.Exp(-mean)
+	for k := 0; k < int(math.Round(many)); k++ {
+		p -= term
+		term *= mean / float64(k+1)
 	}
-	return &s.kinds[k]
+	return max(p, 0)
+}
+
+func sum(values []float64) float64 {
+	all := 0.0
+	for _, v := range values {
+		all += v
+	}
+	return all
 }
 
 // worst sums the n largest of the values.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,51 +18,55 @@
 
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
-	beat         = 100 * Millisecond // housekeeping
-	warmUpAge    = 1 * Second        // younger workers of the pair give no evidence
-	pairFloor    = 11.5              // pairs before 'back'
-	backLevel    = 0.01              // of the sign test of failures; stricter after
-	manyPairs    = 100.0             // as it looks often
-	spreadLevel  = 0.04              // of the same test without the worst workers
-	evidenceKept = 0.9954            // of the pairs, from beat to beat
-	holdLevel    = 0.10              // of the same test, under a clock
-	leadLevel    = 0.25              // a lead at this level stops 'on'
-	slowerBy     = 1.25              // a build this many times slower, at the most, is no worse
-	slowFloor    = 10.0              // trial times before they count
-	unlike       = 0.2               // deviation between like machines, on a log scale
-	slowBack     = 3.5               // standard errors by which the trial is slower still: 'back'
-	slowStop     = 1.0               // and no 'on'
-	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
-	rise         = 0.12              // rise of the log of all times that counts for its stage
-	dragged      = 0.4               // rise at which a build is taken to slow all
-	surge        = 1.2               // of the fresh demand before the trial, which explains one too
-	lacks        = 0.15              // of the usual capacity missing, which explains a drag
-	dragTime     = 3 * Second        // and for how long
-	gatherers    = 6                 // sentries that are told what others saw
-	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
-	quietTimes   = 5.0               // typical times without a word after which a worker is silent
-	hedgeTimes   = 3.0               // typical times after which a second copy goes out
-	hedgeShare   = 0.06              // second copies a txn
-	againShare   = 0.25              // further submissions a txn
-	tryShare     = 0.04              // tries at workers that are silent or rest, a txn
-	restAbove    = 0.35              // share of faults at which a worker rests
-	trickle      = 1 * Second        // between tries at a worker that is silent or rests
-	coldUsed     = 0.7               // part of the cold budget that is used
-	forget       = 0.005             // of what a worker showed, from beat to beat
-	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
-	ownBurst     = 100 * Millisecond
-	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
-	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
-	usualTimes   = 1.5  // of what workers held in good times, which they may hold at any time
-	limitStep    = 0.2
-	firstOpen    = 8.0 // and may hold before it showed anything
-	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
+	beat          = 100 * Millisecond // housekeeping
+	warmUpAge     = 1 * Second        // younger workers of the pair give no evidence
+	pairFloor     = 11.5              // pairs before 'back'
+	backLevel     = 0.01              // of the sign test of failures; stricter after
+	manyPairs     = 100.0             // as it looks often
+	spreadLevel   = 0.04              // of the same test without the worst workers
+	evidenceKept  = 0.9954            // of the pairs, from beat to beat
+	holdLevel     = 0.10              // of the same test, under a clock
+	leadLevel     = 0.25              // a lead at this level stops 'on'
+	slowerBy      = 1.25              // a build this many times slower, at the most, is no worse
+	slowFloor     = 5.0               // trial times before they count
+	usualVariance = 0.5               // of the log of times, where few are seen
+	followed      = 0.3               // share of errors from which they follow a customer or key
+	errorFloor    = 0.003             // share of errors that a good build may show at the least
+	unlike        = 0.2               // deviation between like machines, on a log scale
+	slowBack      = 3.2               // standard errors by which the trial is slower still: 'back'
+	slowMany      = 0.2               // more of them for e times the sentries
+	slowStop      = 1.0               // and no 'on'
+	stakes        = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
+	rise          = 0.12              // rise of the log of all times that counts for its stage
+	dragged       = 0.4               // rise at which a build is taken to slow all
+	surge         = 1.2               // of the fresh demand before the trial, which explains one too
+	lacks         = 0.15              // of the usual capacity missing, which explains a drag
+	dragTime      = 3 * Second        // and for how long
+	gatherers     = 6                 // sentries that are told what others saw
+	peerTrust     = 3 * Second        // age up to which another sentry's evidence counts
+	quietTimes    = 5.0               // typical times without a word after which a worker is silent
+	hedgeTimes    = 3.0               // typical times after which a second copy goes out
+	hedgeShare    = 0.06              // second copies a txn
+	againShare    = 0.25              // further submissions a txn
+	tryShare      = 0.04              // tries at workers that are silent or rest, a txn
+	restAbove     = 0.35              // share of faults at which a worker rests
+	trickle       = 1 * Second        // between tries at a worker that is silent or rests
+	coldUsed      = 0.7               // part of the cold budget that is used
+	forget        = 0.005             // of what a worker showed, from beat to beat
+	crossTimes    = 15.0              // a crossing counts as this many times its price in waiting
+	ownBurst      = 100 * Millisecond
+	leastOpen     = 1.0  // txns that a worker may hold of this sentry, whatever it showed
+	slowShare     = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
+	usualTimes    = 1.5  // of what workers held in good times, which they may hold at any time
+	limitStep     = 0.2
+	firstOpen     = 8.0 // and may hold before it showed anything
+	firstTimes    = 0.2 // of its SLA time that a product is taken to need before it showed anything
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, usuallySlow: map[place]*float64{}, blur: 0.5}
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
@@ -92,8 +96,8 @@
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
 			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: s.rng.Float64(),
-				turn: s.rng.Float64()})
-			w.slow = *s.usualSlow(w)
+				turn: s.rng.Float64(), place: s.placeOf(l)})
+			w.slow = w.place.slow
 		}
 		w.Worker = l
 		s.noticeTrial(l.Rel)
@@ -443,7 +447,8 @@
 	}
 	if t.has == unanswered {
 		// Danger: workers that turn away all that comes would be asked by each txn in turn, and drown.
-		if now < t.Expiry && s.agains >= 1 && o.Ending != Cancelled {
+		if now < t.Expiry && s.agains >= 1 && o.Ending != Cancelled &&
+			(o.Ending != Erred || !s.follows(t, o.Ending, false)) {
 			s.agains--
 			s.place(at)
 		} else {
@@ -495,7 +500,7 @@
 			w.limit *= 1 + limitStep*slowShare
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
-		*s.usualSlow(w) += 0.03 * (min(times, 20) - *s.usualSlow(w))
+		w.place.slow += 0.03 * (min(times, 20) - w.place.slow)
 		unit := float64(o.Elapsed) / float64(max(t.Cost, 1))
 		// While a build is on trial the typical time stands still, or it would hide what the build does to all.
 		if p.learnt++; p.learnt < 100 || s.news.Phase == Released || len(s.trials) == 0 {
@@ -506,7 +511,9 @@
 		w.limit = max(leastOpen, w.limit*0.8)
 	case Erred:
 		w.heard, w.silent = s.now, false
-		w.bad += 0.15 * (1 - w.bad)
+		if !s.follows(t, o.Ending, false) {
+			w.bad += 0.15 * (1 - w.bad)
+		}
 	case Broken, ConnectFailed:
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
@@ -522,15 +529,26 @@
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
 		s.level += s.heed * (v - s.level)
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
-		if k := s.kind(w.Kind); !s.onTrial(sub.rel) {
+		if k := w.place; !s.onTrial(sub.rel) {
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
 		} else if s.now-k.at < 2*Second && 2*len(s.bases) >= len(s.trials) {
 			w.times.add(v - k.level)
 		}
 	}
+	// Danger: errors that follow a customer or a key speak against no worker and no build.
+	if s.follows(t, o.Ending, !s.onTrial(sub.rel)) && o.Ending == Erred {
+		return
+	}
 	if !s.onTrial(sub.rel) && sub.rel < s.trial {
 		s.usualErr += 0.005 * (bit(o.Ending == Erred) - s.usualErr)
-	} else if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
+	}
+	if sub.rel == s.trial && (o.Ending == OK || o.Ending == Erred) {
+		s.own.tried++
+		if o.Ending == Erred && s.now-w.failedAt >= ownBurst {
+			w.fails, w.failedAt = w.fails+1, s.now
+		}
+	}
+	if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
 		s.own.pairs++
 		if o.Ending == Erred {
 			s.lose(w, &s.own.against, 1-s.usualErr)
@@ -561,6 +579,18 @@
 	}
 }
 
+// follows tells whether the errors seen on earlier builds follow the txn's customer or key, and counts on them.
+func (s *Sentry) follows(t *txn, e Ending, count bool) bool {
+	found := false
+	for _, b := range []*float64{&s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]} {
+		if count && (e == OK || e == Erred) {
+			*b += 0.1 * (bit(e == Erred) - *b)
+		}
+		found = found || *b > followed
+	}
+	return found
+}
+
 // pair counts one pair (step 4).
 func (s *Sentry) pair(trial, base showing) {
 	s.own.pairs++
@@ -634,7 +664,7 @@
 		held += min(w.open, int(w.limit))
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
-		w.slow += forget * (*s.usualSlow(w) - w.slow)
+		w.slow += forget * (w.place.slow - w.slow)
 		w.queue *= 0.93
 	}
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
@@ -708,13 +738,14 @@
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
 	// left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
 	s.ailing = false
-	trials, bases := s.scratch[0][:0], s.scratch[1][:0]
+	trials, bases, fails := s.scratch[0][:0], s.scratch[1][:0], s.scratch[2][:0]
 	for _, w := range s.order {
 		w.against *= evidenceKept
 		if w.State != Up {
 			continue
 		}
-		if w.Rel == s.trial {
+		if w.fails *= evidenceKept; w.Rel == s.trial {
+			fails = append(fails, w.fails)
 			// Danger: a build that fails only some time after its start is not cleared by younger workers.
 			if w.Start <= 0 || s.now-w.Start >= 2*s.span("rules.cold", 0) || w.against > 1 {
 				trials = append(trials, w.against)
@@ -724,7 +755,7 @@
 			s.ailing = s.ailing || w.bad > restAbove/2
 		}
 	}
-	s.scratch[0], s.scratch[1] = trials, bases
+	s.scratch = [3][]float64{trials, bases, fails}
 	s.own.fade(evidenceKept)
 	out := (len(trials) + 4) / 5
 	if s.ailing {
@@ -743,15 +774,18 @@
 		}
 	}
 	gathers := s.gather()
+	many := math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))))
+	erring := sum(fails) - worst(fails, min(max(1, out), len(fails)-1))
+	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
 	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
-	enough := all.seen >= stakes*next || age > 2*s.span("release.bake", 0)+4*Second
+	enough := all.seen >= stakes*next*min(1, math.Exp(0.7-many/2)) || age > 2*s.span("release.bake", 0)+4*Second
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
-	fails := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
+	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
-	case fails, slow > slowBack, s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
+	case failing, slow > slowBack+slowMany*many, !s.ailing && fluke < backLevel*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -808,8 +842,8 @@
 	if all.n < slowFloor || all.parts == 0 {
 		return 0
 	}
-	error := math.Sqrt(all.variance()/all.n + unlike*unlike/float64(all.parts))
-	return (all.mean() - math.Log(slowerBy)) / error
+	variance := (all.n*all.variance() + slowFloor*usualVariance) / (all.n + slowFloor)
+	return (all.mean() - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
 }
 
 // look sees to the level of all: a build may slow every worker, so that no pair shows it. Then earlier builds
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,6 +46,7 @@
 
 type worker struct {
 	Worker
+	place     *place
 	open      int
 	slow, bad float64 // smoothed: time over the typical one, share of faults
 	queue     float64
@@ -53,6 +54,8 @@
 	heard     Nanos
 	nextTry   Nanos
 	counted   Nanos
+	fails     float64 // errors of the trial here
+	failedAt  Nanos
 	against   float64 // discordant pairs that it lost for the trial
 	silent    bool
 	times     spread  // logs of times over the typical one, of late
@@ -62,28 +65,24 @@
 	ripeAt    Nanos // since when that is one or more
 }
 
-// place is a zone and a kind of machine.
-type place struct {
+// where is a zone and a kind of machine; place, what workers there take over the typical time: smoothed, and
+// the smoothed log of that for earlier builds.
+type where struct {
 	zone ZoneID
 	kind KindID
 }
 
-// usualSlow gives what workers of w's zone and kind take, over the typical time.
-func (s *Sentry) usualSlow(w *worker) *float64 {
-	at := place{w.Zone, w.Kind}
-	v := s.usuallySlow[at]
-	if v == nil {
-		v = new(float64)
-		*v = 1
-		s.usuallySlow[at] = v
-	}
-	return v
+type place struct {
+	slow, level float64
+	at          Nanos // when an earlier build last answered there
 }
 
-// pace is the smoothed log of times over the typical ones.
-type pace struct {
-	level float64
-	at    Nanos
+func (s *Sentry) placeOf(w Worker) *place {
+	at := where{w.Zone, w.Kind}
+	if s.places[at] == nil {
+		s.places[at] = &place{slow: 1}
+	}
+	return s.places[at]
 }
 
 type submission struct {
@@ -140,7 +139,7 @@
 	hedges, agains      float64 // further submissions left
 	tries               float64 // submissions left for workers that are not fit
 	blur                float64 // how much chance mixes into the pick of a worker
-	usuallySlow         map[place]*float64
+	places              map[where]*place
 	usual, late         float64 // txns a worker holds in good times; share of slow answers
 	declinedAt          Nanos
 
@@ -155,15 +154,15 @@
 	peers                 []evidence // by their number
 	level                 float64    // smoothed log of the times of earlier builds
 	levelAt, draggedAt    Nanos
-	calmLevel, drag       float64 // the level before the trial; its rise since
-	ailing, lacking       bool    // a worker ails; capacity is missing
-	heed                  float64 // weight of a txn in the level
-	warmLevel, stageLevel float64 // the level when last no worker was cold, and that at the start of the stage
-	usualErr              float64 // share of errors of earlier builds
-	rises, roseAt         int     // stages with a rise
-	scratch               [2][]float64
+	calmLevel, drag       float64      // the level before the trial; its rise since
+	ailing, lacking       bool         // a worker ails; capacity is missing
+	heed                  float64      // weight of a txn in the level
+	warmLevel, stageLevel float64      // the level when last no worker was cold, and that at the start of the stage
+	blame                 [256]float64 // shares of errors by customer and by key
+	usualErr              float64      // share of errors of earlier builds
+	rises, roseAt         int          // stages with a rise
+	scratch               [3][]float64
 	side                  []*worker
-	kinds                 []pace // of earlier builds, by kind of machine
 
 	wantVote          Verdict
 	tells             []int // sentries to tell what was seen
@@ -266,10 +265,12 @@
 	rel                                                   RelID
 	at                                                    Nanos
 	pairs, against, favour, leanAgainst, leanFavour, seen float64
+	tried                                                 float64 // all that the trial answered; not told
 }
 
 func (e *evidence) fade(kept float64) {
 	e.pairs, e.against, e.favour = e.pairs*kept, e.against*kept, e.favour*kept
+	e.tried *= kept
 }
 
 func (e *evidence) add(o *evidence) {
@@ -305,7 +306,7 @@
 	s.trial, s.own = rel, evidence{}
 	clear(s.metTrial)
 	for _, w := range s.order {
-		w.against, w.times = 0, spread{}
+		w.against, w.fails, w.times = 0, 0, spread{}
 	}
 	for i := range s.products {
 		s.products[i].waiting = s.products[i].waiting[:0]
--- a/wire/words.go
+++ b/wire/words.go
@@ -36,6 +36,7 @@
 	"familyInfo.bake":          {"release.bake", micros},
 	"familyInfo.step":          {"release.stage-time", micros},
 	"familyInfo.voteTtl":       {"release.vote-life", micros},
+	"familyInfo.noesNeeded":    {"release.votes-back", plain},
 	"familyInfo.callTimeout":   {"release.vote-timeout", micros},
 	"familyInfo.callsPerS":     {"release.votes-per-second", plain},
 	"familyInfo.countedOver":   {"release.window", micros},
