--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,6 +21,7 @@
 	beat          = 100 * Millisecond // housekeeping
 	warmUpAge     = 1 * Second        // younger workers of the pair give no evidence
 	pairFloor     = 11.5              // pairs before 'back'
+	few           = 4.0               // sentries; with more, each judges by less and as one of many
 	backLevel     = 0.01              // of the sign test of failures; stricter after
 	manyPairs     = 100.0             // as it looks often
 	spreadLevel   = 0.04              // of the same test without the worst workers
@@ -28,12 +29,12 @@
 	holdLevel     = 0.10              // of the same test, under a clock
 	leadLevel     = 0.25              // a lead at this level stops 'on'
 	slowerBy      = 1.25              // a build this many times slower, at the most, is no worse
-	slowFloor     = 5.0               // trial times before they count
+	slowFloor     = 10.0              // trial times before they count; fewer for many sentries
 	usualVariance = 0.5               // of the log of times, where few are seen
-	followed      = 0.3               // share of errors from which they follow a customer or key
+	followed      = 0.6               // share of errors from which they follow a key; half for a customer
 	errorFloor    = 0.003             // share of errors that a good build may show at the least
 	unlike        = 0.2               // deviation between like machines, on a log scale
-	slowBack      = 3.2               // standard errors by which the trial is slower still: 'back'
+	slowBack      = 3.5               // standard errors by which the trial is slower still: 'back'
 	slowMany      = 0.2               // more of them for e times the sentries
 	slowStop      = 1.0               // and no 'on'
 	stakes        = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
@@ -354,14 +355,22 @@
 	return s.soonest(s.trials, t), noArm
 }
 
-// rotate picks the next worker of a side in turn, a cold one less often, those of the own zone first where
-// crossing has a price.
+// crossing is what a worker's time counts more for standing in another zone.
+func (s *Sentry) crossing(w *worker) float64 {
+	if w.Zone == ZoneID(s.num("zone", -1)) {
+		return 1
+	}
+	return 1 + crossTimes*s.num("price.cross-zone", 0)
+}
+
+// rotate picks the next worker of a side in turn, a cold one less often, those first that are as near as the own
+// zone. Danger: where traffic moves to one zone, its part of the trial would get it all and look slow.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
-	for _, anyZone := range []bool{s.num("price.cross-zone", 0) == 0, true} {
+	for _, anyZone := range []bool{false, true} {
 		var best *worker
 		sum := 0.0
 		for _, w := range side {
-			if (anyZone || w.Zone == ZoneID(s.num("zone", -1))) && s.fit(w) && s.room(w, t) && s.maySend(t, w) &&
+			if (anyZone || w.place.slow*s.crossing(w) <= s.home) && s.fit(w) && s.room(w, t) && s.maySend(t, w) &&
 				!t.tried(w) {
 				r := s.ramp(w)
 				w.turn, sum = min(w.turn+r, 2), sum+r
@@ -398,10 +407,7 @@
 		if !s.maySend(t, w) || !s.room(w, t) {
 			continue
 		}
-		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad)
-		if w.Zone != ZoneID(s.num("zone", -1)) {
-			cost *= 1 + crossTimes*s.num("price.cross-zone", 0)
-		}
+		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * s.crossing(w)
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
 			// be repeated now and then, as a share of all; this also brings back whatever has recovered.
@@ -580,15 +586,15 @@
 }
 
 // follows tells whether the errors seen on earlier builds follow the txn's customer or key, and counts on them.
+// Danger: workers that fail hit all customers alike; a customer stands out only beside the one that fares best.
 func (s *Sentry) follows(t *txn, e Ending, count bool) bool {
-	found := false
-	for _, b := range []*float64{&s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]} {
-		if count && (e == OK || e == Erred) {
-			*b += 0.1 * (bit(e == Erred) - *b)
-		}
-		found = found || *b > followed
+	c, k := &s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]
+	if count && (e == OK || e == Erred) {
+		*c += 0.1 * (bit(e == Erred) - *c)
+		*k += 0.1 * (bit(e == Erred) - *k)
 	}
-	return found
+	others := s.blame[1:min(16, 1+int(s.num("customers.count", 0)))]
+	return t.Key != 0 && *k > followed || len(others) > 1 && *c > followed/2 && *c > 3*slices.Min(others)
 }
 
 // pair counts one pair (step 4).
@@ -672,6 +678,12 @@
 	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
 		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
 	}
+	s.home = 0 // the slowest place in the own zone
+	for at, p := range s.places {
+		if at.zone == ZoneID(s.num("zone", -1)) {
+			s.home = max(s.home, p.slow)
+		}
+	}
 	s.arrange()
 	s.look()
 	s.judge()
@@ -774,18 +786,18 @@
 		}
 	}
 	gathers := s.gather()
-	many := math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))))
+	many := math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))/few))
 	erring := sum(fails) - worst(fails, min(max(1, out), len(fails)-1))
+	slow := s.slowness(slowFloor * math.Exp(-many/4))
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
-	slow := s.slowness()
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
-	enough := all.seen >= stakes*next*min(1, math.Exp(0.7-many/2)) || age > 2*s.span("release.bake", 0)+4*Second
+	enough := all.seen >= stakes*next*math.Exp(-many/2) || age > 2*s.span("release.bake", 0)+4*Second
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
 	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
-	case failing, slow > slowBack+slowMany*many, !s.ailing && fluke < backLevel*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
+	case failing, slow > slowBack+slowMany*many, !s.ailing && fluke < backLevel/few*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -831,7 +843,7 @@
 // slowness tells by how many standard errors the trial's times are over slowerBy times those of the earlier
 // builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow
 // machine is likelier than that and the next stage brings others.
-func (s *Sentry) slowness() float64 {
+func (s *Sentry) slowness(floor float64) float64 {
 	s.side = s.side[:0]
 	for _, w := range s.order {
 		if w.Rel == s.trial && w.times.n > 0 {
@@ -839,10 +851,10 @@
 		}
 	}
 	all := pooled(s.side, (len(s.side)+3)/4)
-	if all.n < slowFloor || all.parts == 0 {
+	if all.n < floor || all.parts == 0 {
 		return 0
 	}
-	variance := (all.n*all.variance() + slowFloor*usualVariance) / (all.n + slowFloor)
+	variance := (all.n*all.variance() + 5*usualVariance) / (all.n + 5)
 	return (all.mean() - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -138,6 +138,7 @@
 	fresh, calmFresh    float64 // txns a second less those; before the trial
 	hedges, agains      float64 // further submissions left
 	tries               float64 // submissions left for workers that are not fit
+	home                float64 // what the slowest place of the own zone takes over the typical time
 	blur                float64 // how much chance mixes into the pick of a worker
 	places              map[where]*place
 	usual, late         float64 // txns a worker holds in good times; share of slow answers
