--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,56 +18,55 @@
 
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
-	beat          = 100 * Millisecond // housekeeping
-	warmUpAge     = 1 * Second        // younger workers of the pair give no evidence
-	pairFloor     = 11.5              // pairs before 'back'
-	few           = 4.0               // sentries; with more, each judges by less and as one of many
-	backLevel     = 0.01              // of the sign test of failures; stricter after
-	manyPairs     = 100.0             // as it looks often
-	spreadLevel   = 0.04              // of the same test without the worst workers
-	evidenceKept  = 0.9954            // of the pairs, from beat to beat
-	holdLevel     = 0.10              // of the same test, under a clock
-	leadLevel     = 0.25              // a lead at this level stops 'on'
-	slowerBy      = 1.25              // a build this many times slower, at the most, is no worse
-	slowFloor     = 10.0              // trial times before they count; fewer for many sentries
-	usualVariance = 0.5               // of the log of times, where few are seen
-	followed      = 0.6               // share of errors from which they follow a key; half for a customer
-	errorFloor    = 0.003             // share of errors that a good build may show at the least
-	unlike        = 0.2               // deviation between like machines, on a log scale
-	slowBack      = 3.5               // standard errors by which the trial is slower still: 'back'
-	slowMany      = 0.2               // more of them for e times the sentries
-	slowStop      = 1.0               // and no 'on'
-	stakes        = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
-	rise          = 0.12              // rise of the log of all times that counts for its stage
-	dragged       = 0.4               // rise at which a build is taken to slow all
-	surge         = 1.2               // of the fresh demand before the trial, which explains one too
-	lacks         = 0.15              // of the usual capacity missing, which explains a drag
-	dragTime      = 3 * Second        // and for how long
-	gatherers     = 6                 // sentries that are told what others saw
-	peerTrust     = 3 * Second        // age up to which another sentry's evidence counts
-	quietTimes    = 5.0               // typical times without a word after which a worker is silent
-	hedgeTimes    = 3.0               // typical times after which a second copy goes out
-	hedgeShare    = 0.06              // second copies a txn
-	againShare    = 0.25              // further submissions a txn
-	tryShare      = 0.04              // tries at workers that are silent or rest, a txn
-	restAbove     = 0.35              // share of faults at which a worker rests
-	trickle       = 1 * Second        // between tries at a worker that is silent or rests
-	coldUsed      = 0.7               // part of the cold budget that is used
-	forget        = 0.005             // of what a worker showed, from beat to beat
-	crossTimes    = 15.0              // a crossing counts as this many times its price in waiting
-	ownBurst      = 100 * Millisecond
-	leastOpen     = 1.0  // txns that a worker may hold of this sentry, whatever it showed
-	slowShare     = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
-	usualTimes    = 1.5  // of what workers held in good times, which they may hold at any time
-	limitStep     = 0.2
-	firstOpen     = 8.0 // and may hold before it showed anything
-	firstTimes    = 0.2 // of its SLA time that a product is taken to need before it showed anything
+	beat         = 100 * Millisecond // housekeeping
+	warmUpAge    = 1 * Second        // younger workers of the pair give no evidence
+	pairFloor    = 11.5              // pairs before 'back'
+	few          = 4.0               // sentries; with more, each judges by less and as one of many
+	backLevel    = 0.01              // of the sign test of failures; stricter after
+	manyPairs    = 100.0             // as it looks often
+	spreadLevel  = 0.04              // of the same test without the worst workers
+	evidenceKept = 0.9954            // of the pairs, from beat to beat
+	holdLevel    = 0.10              // of the same test, under a clock
+	leadLevel    = 0.25              // a lead at this level stops 'on'
+	slowerBy     = 1.25              // a build this many times slower, at the most, is no worse
+	slowFloor    = 10.0              // trial times before they count; fewer for many sentries
+	followed     = 0.6               // share of errors from which they follow a key; half for a customer
+	errorFloor   = 0.003             // share of errors that a good build may show at the least
+	unlike       = 0.2               // deviation between like machines, on a log scale
+	slowBack     = 3.5               // standard errors by which the trial is slower still: 'back'
+	slowMany     = 0.2               // more of them for e times the sentries
+	slowStop     = 1.0               // and no 'on'
+	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
+	rise         = 0.12              // rise of the log of all times that counts for its stage
+	dragged      = 0.4               // rise at which a build is taken to slow all
+	surge        = 1.2               // of the fresh demand before the trial, which explains one too
+	lacks        = 0.15              // of the usual capacity missing, which explains a drag
+	dragTime     = 3 * Second        // and for how long
+	gatherers    = 6                 // sentries that are told what others saw
+	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
+	quietTimes   = 5.0               // typical times without a word after which a worker is silent
+	hedgeTimes   = 3.0               // typical times after which a second copy goes out
+	hedgeShare   = 0.06              // second copies a txn
+	againShare   = 0.25              // further submissions a txn
+	tryShare     = 0.04              // tries at workers that are silent or rest, a txn
+	restAbove    = 0.35              // share of faults at which a worker rests
+	trickle      = 1 * Second        // between tries at a worker that is silent or rests
+	coldUsed     = 0.7               // part of the cold budget that is used
+	forget       = 0.005             // of what a worker showed, from beat to beat
+	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
+	ownBurst     = 100 * Millisecond
+	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
+	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
+	usualTimes   = 1.5  // of what workers held in good times, which they may hold at any time
+	limitStep    = 0.2
+	firstOpen    = 8.0 // and may hold before it showed anything
+	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5}
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5, unsteady: 1}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
@@ -536,6 +535,7 @@
 		s.level += s.heed * (v - s.level)
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := w.place; !s.onTrial(sub.rel) {
+			s.unsteady += 0.02 * ((v-k.level)*(v-k.level) - s.unsteady)
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
 		} else if s.now-k.at < 2*Second && 2*len(s.bases) >= len(s.trials) {
 			w.times.add(v - k.level)
@@ -797,7 +797,7 @@
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
 	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
-	case failing, slow > slowBack+slowMany*many, !s.ailing && fluke < backLevel/few*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
+	case failing, slow > slowBack+slowMany*many, !s.ailing && len(fails) > 1 && fluke < backLevel/few*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -854,7 +854,7 @@
 	if all.n < floor || all.parts == 0 {
 		return 0
 	}
-	variance := (all.n*all.variance() + 5*usualVariance) / (all.n + 5)
+	variance := (all.n*all.variance() + slowFloor*s.unsteady) / (all.n + slowFloor)
 	return (all.mean() - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -161,6 +161,7 @@
 	warmLevel, stageLevel float64      // the level when last no worker was cold, and that at the start of the stage
 	blame                 [256]float64 // shares of errors by customer and by key
 	usualErr              float64      // share of errors of earlier builds
+	unsteady              float64      // variance of the log of times of earlier builds
 	rises, roseAt         int          // stages with a rise
 	scratch               [3][]float64
 	side                  []*worker
