--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,9 +38,10 @@
 	slowStop     = 1.0               // and no 'on'
 	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
 	rise         = 0.12              // rise of the log of all times that counts for its stage
-	dragged      = 0.4               // rise at which a build is taken to slow all
+	dragged      = 0.8               // rise at which a build is taken to slow all
 	surge        = 1.2               // of the fresh demand before the trial, which explains one too
 	lacks        = 0.15              // of the usual capacity missing, which explains a drag
+	firstLevels  = 40.0              // outcomes before the level of all is known
 	dragTime     = 3 * Second        // and for how long
 	gatherers    = 6                 // sentries that are told what others saw
 	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
@@ -532,9 +533,14 @@
 	// Times count against those of the earlier builds at the same moment, so that load does not.
 	if warm := s.ramp(w) == 1; warm && (o.Ending == OK || o.Elapsed > Nanos(s.expected(t))) {
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
-		s.level += s.heed * (v - s.level)
+		s.levels++
+		s.level += max(s.heed, bit(s.heed > 0)/s.levels) * (v - s.level)
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := w.place; !s.onTrial(sub.rel) {
+			// Danger: what is picked for answering soon is faster than a side of the pair, which goes in turn.
+			if sub.arm == baseArm {
+				s.skew.add(v - k.level)
+			}
 			s.unsteady += 0.02 * ((v-k.level)*(v-k.level) - s.unsteady)
 			k.level, k.at = k.level+0.04*(v-k.level), s.now
 		} else if s.now-k.at < 2*Second && 2*len(s.bases) >= len(s.trials) {
@@ -644,8 +650,8 @@
 // onBeat looks after what no event brings up: silent workers, rates, the watch, votes.
 func (s *Sentry) onBeat() {
 	s.refill()
-	s.fresh += (float64(s.taken-s.turned)/(float64(beat)/float64(Second)) - s.fresh) * 0.05
 	s.beats++
+	s.fresh += (float64(s.taken-s.turned)/(float64(beat)/float64(Second)) - s.fresh) * max(0.03, 1/s.beats)
 	s.carried += (float64(s.done)/(float64(beat)/float64(Second)) - s.carried) * max(0.02, 1/s.beats)
 	s.taken, s.turned, s.done = 0, 0, 0
 	for at := range s.slab {
@@ -855,16 +861,19 @@
 		return 0
 	}
 	variance := (all.n*all.variance() + slowFloor*s.unsteady) / (all.n + slowFloor)
-	return (all.mean() - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
+	skew := s.skew.sum / (s.skew.n + slowFloor)
+	return (all.mean() - skew - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
 }
 
 // look sees to the level of all: a build may slow every worker, so that no pair shows it. Then earlier builds
 // take longer than before the trial, and longer with each stage, though not much more is asked of them. It
 // should also catch a build that starves what all share; a fleet that fails bit by bit could pass for it.
 func (s *Sentry) look() {
-	if s.news.Phase != OnTrial || len(s.trials) == 0 {
-		s.calmLevel += 0.01 * (s.level - s.calmLevel)
-		s.calmFresh += 0.01 * (s.fresh - s.calmFresh)
+	// Danger: a level that starts at nothing takes long to be true where txns are few, and hides any drag till then.
+	if s.news.Phase != OnTrial || len(s.trials) == 0 || s.levels < firstLevels {
+		s.calms++
+		s.calmLevel += max(0.01, 1/s.calms) * (s.level - s.calmLevel)
+		s.calmFresh += max(0.01, 1/s.calms) * (s.fresh - s.calmFresh)
 	}
 	s.drag = s.level - s.calmLevel
 	// Danger: workers that are gone, ail or are cold take capacity away, which slows all too; so does a surge.
--- a/logic/state.go
+++ b/logic/state.go
@@ -155,12 +155,14 @@
 	peers                 []evidence // by their number
 	level                 float64    // smoothed log of the times of earlier builds
 	levelAt, draggedAt    Nanos
+	levels, calms         float64      // outcomes and beats that went into the level and the calm one
 	calmLevel, drag       float64      // the level before the trial; its rise since
 	ailing, lacking       bool         // a worker ails; capacity is missing
 	heed                  float64      // weight of a txn in the level
 	warmLevel, stageLevel float64      // the level when last no worker was cold, and that at the start of the stage
 	blame                 [256]float64 // shares of errors by customer and by key
 	usualErr              float64      // share of errors of earlier builds
+	skew                  spread       // as the trial's times, of the baseline
 	unsteady              float64      // variance of the log of times of earlier builds
 	rises, roseAt         int          // stages with a rise
 	scratch               [3][]float64
@@ -305,7 +307,7 @@
 	if rel <= s.trial {
 		return
 	}
-	s.trial, s.own = rel, evidence{}
+	s.trial, s.own, s.skew = rel, evidence{}, spread{}
 	clear(s.metTrial)
 	for _, w := range s.order {
 		w.against, w.fails, w.times = 0, 0, spread{}
