--- a/logic/emit.go
+++ b/logic/emit.go
@@ -73,6 +73,7 @@
 func (s *Sentry) submit(t *txn) {
 	w := t.want.to
 	w.open++
+	s.held++
 	if s.ramp(w) < 1 {
 		w.cold--
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,12 +67,13 @@
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5, unsteady: 1}
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5, unsteady: 1, squeeze: 1}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
 	s.wantWatch = s.word("discovery") == "ask"
 	s.hedges, s.agains = 5, 10
+	s.part = min(1, few/max(1, s.num("sentries", 1)))
 	s.emit()
 	return s
 }
@@ -96,7 +97,7 @@
 		w := s.workers[l.ID]
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
-			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen, coldAt: now, cold: s.rng.Float64(),
+			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen * s.part, coldAt: now, cold: s.rng.Float64(),
 				turn: s.rng.Float64(), place: s.placeOf(l)})
 			w.slow = w.place.slow
 		}
@@ -392,11 +393,21 @@
 func (s *Sentry) room(w *worker, t *txn) bool {
 	// Danger: a limit that storms have pushed down stays there where long txns are common. What workers held
 	// while nothing was declined and few answers were slow is allowed at any time.
-	limit := max(w.limit, usualTimes*s.usual)
+	limit := s.limit(w)
 	if t.n > 0 {
 		limit *= 0.8
 	}
-	return float64(w.open) < limit
+	// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
+	return float64(w.open) < limit && (s.part == 1 || float64(s.held) < s.allowed)
+}
+
+// limit is what w may hold; what is learnt of one worker tells of all where each is seldom met.
+func (s *Sentry) limit(w *worker) float64 { return max(w.limit*s.squeeze, usualTimes*s.usual) }
+
+// widen moves the limit of w by a factor.
+func (s *Sentry) widen(w *worker, by float64) {
+	w.limit = max(leastOpen*s.part, w.limit*by)
+	s.squeeze = min(max(s.squeeze*(1+(by-1)*s.blur*(1-s.part)), 0.1), 2)
 }
 
 // soonest picks the worker that should answer first, as far as own submissions and reports tell.
@@ -443,6 +454,7 @@
 	sub.out = false
 	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
 	sub.to.open--
+	s.held--
 	s.learn(t, sub, o)
 	if o.Over {
 		t.has = settled
@@ -501,9 +513,9 @@
 		s.done++
 		s.late += 0.02 * (bit(o.Elapsed > p.sla*2/3) - s.late)
 		if o.Elapsed > p.sla*2/3 {
-			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
-		} else if float64(w.open) >= w.limit/2 {
-			w.limit *= 1 + limitStep*slowShare
+			s.widen(w, 1-limitStep*(1-slowShare))
+		} else if float64(w.open) >= s.limit(w)/2 || float64(s.held) >= s.allowed/2 && s.part < 1 {
+			s.widen(w, 1+limitStep*slowShare)
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
 		w.place.slow += 0.03 * (min(times, 20) - w.place.slow)
@@ -514,7 +526,7 @@
 		}
 	case Full:
 		w.heard, w.silent = s.now, false
-		w.limit = max(leastOpen, w.limit*0.8)
+		s.widen(w, 0.8)
 	case Erred:
 		w.heard, w.silent = s.now, false
 		if !s.follows(t, o.Ending, false) {
@@ -524,7 +536,7 @@
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
 		if o.Elapsed > p.sla {
-			w.limit = max(leastOpen, w.limit*(1-limitStep*(1-slowShare)))
+			s.widen(w, 1-limitStep*(1-slowShare))
 		}
 		w.slow = max(w.slow, w.slow+0.15*(min(times, 20)-w.slow))
 	case Moot:
@@ -671,9 +683,13 @@
 			}
 		}
 	}
-	held := 0
+	held := 0.0
+	s.allowed, s.squeeze = 0, s.squeeze+forget*(1-s.squeeze)
 	for _, w := range s.order {
-		held += min(w.open, int(w.limit))
+		held += min(float64(w.open), max(1, w.limit))
+		if w.State == Up && s.fit(w) {
+			s.allowed += s.limit(w) * s.ramp(w)
+		}
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
 		w.slow += forget * (w.place.slow - w.slow)
@@ -682,7 +698,7 @@
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
 	s.blur = min(0.5, 0.02+0.03*s.fleet/max(s.carried, 0.1))
 	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
-		s.usual += 0.01 * (float64(held)/s.fleet - s.usual)
+		s.usual += 0.01 * (held/s.fleet - s.usual)
 	}
 	s.home = 0 // the slowest place in the own zone
 	for at, p := range s.places {
