--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,8 +72,9 @@
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
 	s.wantWatch = s.word("discovery") == "ask"
-	s.hedges, s.agains = 5, 10
 	s.part = min(1, few/max(1, s.num("sentries", 1)))
+	s.many = math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))/few))
+	s.hedges, s.agains = 5*s.part, 10*s.part
 	s.emit()
 	return s
 }
@@ -287,7 +288,7 @@
 	at := s.hold(in)
 	t := &s.slab[at]
 	s.taken++
-	s.hedges, s.agains = min(s.hedges+hedgeShare, 20), min(s.agains+againShare, 50)
+	s.hedges, s.agains = min(s.hedges+hedgeShare, 1+20*s.part), min(s.agains+againShare, 1+50*s.part)
 	s.tries = min(s.tries+tryShare, 2)
 	s.exposure[s.lane(t.Product)] += s.capNow() // refill holds it to its depth
 	s.place(at)
@@ -575,9 +576,9 @@
 	if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
 		s.own.pairs++
 		if o.Ending == Erred {
-			s.lose(w, &s.own.against, 1-s.usualErr)
+			s.lose(w, &s.own.against, 1-s.usualErr-errorFloor)
 		} else if o.Ending == OK {
-			s.own.favour += s.usualErr
+			s.own.favour += s.usualErr + errorFloor
 		}
 		return
 	}
@@ -585,8 +586,9 @@
 		return
 	}
 	good := o.Ending == OK && o.Elapsed <= 2*p.sla
-	// Danger: a cold worker is late for being cold; only errors speak against it.
-	if o.Ending == ConnectFailed || o.Ending == Cancelled && o.Elapsed <= 2*p.sla ||
+	// Danger: a cold worker is late for being cold; only errors speak against it. A client of little patience
+	// leaves before anything can be called late.
+	if o.Ending == ConnectFailed || (o.Ending == Cancelled || o.Ending == TimedOut) && o.Elapsed <= 2*p.sla ||
 		!good && o.Ending != Erred && s.ramp(w) < 1 {
 		return
 	}
@@ -808,18 +810,17 @@
 		}
 	}
 	gathers := s.gather()
-	many := math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))/few))
 	erring := sum(fails) - worst(fails, min(max(1, out), len(fails)-1))
-	slow := s.slowness(slowFloor * math.Exp(-many/4))
+	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
-	enough := all.seen >= stakes*next*math.Exp(-many/2) || age > 2*s.span("release.bake", 0)+4*Second
+	enough := all.seen >= stakes*next*math.Exp(-s.many/2) || age > 2*s.span("release.bake", 0)+4*Second
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
-	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
+	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel && !s.ailing || spread < level)
 	switch {
-	case failing, slow > slowBack+slowMany*many, !s.ailing && len(fails) > 1 && fluke < backLevel/few*math.Exp(-many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
+	case failing, slow > slowBack+slowMany*s.many, !s.ailing && len(fails) > 1 && fluke < backLevel/few*math.Exp(-s.many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -900,7 +901,7 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged || s.rises < 1 || s.news.Phase != OnTrial {
+	if s.drag < dragged*(1+0.15*s.many) || s.rises < 1 || s.news.Phase != OnTrial {
 		s.draggedAt = s.now
 	}
 }
