Pick nobody of a side long before its turn

What cold workers could not take of the trial's slice went to its warm ones. Told from a bad build: the times were long at few workers, all on the trial's side, and short on its twin. Change: a worker of the pair is picked only near its turn, first turns are random; else the txn goes to the rest. Covers: any side of which a part is full, silent or cold. Harm: a trial gets less than its slice while it is cold.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,7 @@
 	trickle      = 1 * Second        // between tries at a worker that is silent or rests
 	coldUsed     = 0.7               // part of the cold budget that is used
 	forget       = 0.005             // of what a worker showed, from beat to beat
+	dueFrom      = 0.8               // part of a round after which a worker's next turn may come
 	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
@@ -99,7 +100,7 @@
 		if w == nil || w.Start != l.Start || w.Rel != l.Rel {
 			// A new process owes nothing to what ran under its id before.
 			w = s.enter(&worker{Worker: l, slow: 1, limit: firstOpen * s.part, coldAt: now, cold: s.rng.Float64(),
-				turn: s.rng.Float64(), place: s.placeOf(l)})
+				place: s.placeOf(l)})
 			w.slow = w.place.slow
 		}
 		w.Worker = l
@@ -322,6 +323,9 @@
 		// Danger: keys that the trial has met come on top of its slice and crowd its workers, which then look slow.
 		// So they use up the slice, and count as what they are, trial outcomes.
 		w := s.rotate(s.trials, t)
+		if w == nil {
+			w = s.soonest(s.trials, t)
+		}
 		if w != nil && t.n == 0 {
 			s.credit, s.creditTrial = max(s.credit-1, -2), max(s.creditTrial-1, -2)
 			return w, trialArm
@@ -365,28 +369,39 @@
 	return 1 + crossTimes*s.num("price.cross-zone", 0)
 }
 
-// rotate picks the next worker of a side in turn, a cold one less often, those first that are as near as the own
-// zone. Danger: where traffic moves to one zone, its part of the trial would get it all and look slow.
+// near tells whether w is as near as the slowest of the own zone.
+func (s *Sentry) near(w *worker) bool { return s.fit(w) && w.place.slow*s.crossing(w) <= s.home }
+
+// rotate picks the next worker of a side in turn, a cold one less often, among those as near as the own zone.
+// Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; and what cold
+// workers may not take would crowd the warm ones. So nobody is picked long before its turn.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
-	for _, anyZone := range []bool{false, true} {
-		var best *worker
-		sum := 0.0
-		for _, w := range side {
-			if (anyZone || w.place.slow*s.crossing(w) <= s.home) && s.fit(w) && s.room(w, t) && s.maySend(t, w) &&
-				!t.tried(w) {
-				r := s.ramp(w)
-				w.turn, sum = min(w.turn+r, 2), sum+r
-				if best == nil || w.turn > best.turn {
-					best = w
-				}
-			}
+	near, sum := false, 0.0
+	for _, w := range side {
+		if n := s.near(w); n && !near {
+			near, sum = true, 0
+		}
+		if s.near(w) || !near && s.fit(w) {
+			sum += s.ramp(w)
+		}
+	}
+	var best *worker
+	for _, w := range side {
+		if !s.fit(w) || near && !s.near(w) {
+			continue
 		}
-		if best != nil {
-			best.turn -= sum
-			return best
+		if !w.due { // a first turn at random, or many sentries would all begin with the same
+			w.due, w.turn = true, s.rng.Float64()*sum
 		}
+		w.turn = min(w.turn+s.ramp(w), 2*sum)
+		if w.turn >= dueFrom*sum && (best == nil || w.turn > best.turn) && s.room(w, t) && s.maySend(t, w) {
+			best = w
+		}
+	}
+	if best != nil {
+		best.turn -= sum
 	}
-	return nil
+	return best
 }
 
 // room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,6 +58,7 @@
 	failedAt  Nanos
 	against   float64 // discordant pairs that it lost for the trial
 	silent    bool
+	due       bool    // its turn has begun
 	times     spread  // logs of times over the typical one, of late
 	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
