Watch the level of all for 15 s after a release too

Cause: a build that slows all shows in full only when it has all the traffic; by then it is released, and the calm level took the drag for usual. Change: a build seen on trial is watched on, and calm waits. Covers: builds that break under full load. Harm: an overload just after a release may call a good build back; missing capacity and a surge still excuse it, and the mark grows with the number of sentries.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,7 @@
 	dragged      = 0.8               // rise at which a build is taken to slow all
 	surge        = 1.2               // of the fresh demand before the trial, which explains one too
 	lacks        = 0.15              // of the usual capacity missing, which explains a drag
+	afterwards   = 15 * Second       // after a release, in which all being slower still counts against it
 	firstLevels  = 40.0              // outcomes before the level of all is known
 	dragTime     = 3 * Second        // and for how long
 	gatherers    = 6                 // sentries that are told what others saw
@@ -901,8 +902,14 @@
 // take longer than before the trial, and longer with each stage, though not much more is asked of them. It
 // should also catch a build that starves what all share; a fleet that fails bit by bit could pass for it.
 func (s *Sentry) look() {
+	// Danger: what slows all shows in full only when a build has all the traffic, and is released by then.
+	onTrial := s.news.Phase == OnTrial && len(s.trials) > 0
+	if onTrial {
+		s.watched = s.trial
+	}
+	fresh := s.news.Phase == Released && s.watched == s.trial && s.news.Age+s.now-s.newsAt < afterwards
 	// Danger: a level that starts at nothing takes long to be true where txns are few, and hides any drag till then.
-	if s.news.Phase != OnTrial || len(s.trials) == 0 || s.levels < firstLevels {
+	if !onTrial && !fresh || s.levels < firstLevels {
 		s.calms++
 		s.calmLevel += max(0.01, 1/s.calms) * (s.level - s.calmLevel)
 		s.calmFresh += max(0.01, 1/s.calms) * (s.fresh - s.calmFresh)
@@ -916,7 +923,7 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged*(1+0.15*s.many) || s.rises < 1 || s.news.Phase != OnTrial {
+	if s.drag < dragged*(1+0.15*s.many) || s.rises < 1 || !onTrial && !fresh {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -151,6 +151,7 @@
 
 	news     News
 	newsAt   Nanos
+	watched  RelID // the newest build seen on trial
 	trial    RelID // the newest build known
 	exposure []float64
 	refilled Nanos
