Stay cautious for 10 s after workers of an earlier build failed

Covers: any machine trouble that ends before its evidence. Harm: a failing build is judged more strictly then.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	surge        = 1.2               // of the fresh demand before the trial, which explains one too
 	lacks        = 0.15              // of the usual capacity missing, which explains a drag
 	afterwards   = 15 * Second       // after a release, in which all being slower still counts against it
+	caution      = 10 * Second       // after workers of an earlier build failed
 	firstLevels  = 40.0              // outcomes before the level of all is known
 	dragTime     = 3 * Second        // and for how long
 	gatherers    = 6                 // sentries that are told what others saw
@@ -789,7 +790,8 @@
 	}
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
 	// left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
-	s.ailing = false
+	// Evidence from that time lives on for a while, and so does the caution.
+	s.ailing = s.now < s.ailedTill
 	trials, bases, fails := s.scratch[0][:0], s.scratch[1][:0], s.scratch[2][:0]
 	for _, w := range s.order {
 		w.against *= evidenceKept
@@ -804,7 +806,9 @@
 			}
 		} else {
 			bases = append(bases, w.against)
-			s.ailing = s.ailing || w.bad > restAbove/2
+			if w.bad > restAbove/2 {
+				s.ailing, s.ailedTill = true, s.now+caution
+			}
 		}
 	}
 	s.scratch = [3][]float64{trials, bases, fails}
--- a/logic/state.go
+++ b/logic/state.go
@@ -149,13 +149,14 @@
 	squeeze, allowed    float64 // on all limits; what may be held in all
 	held                int
 
-	news     News
-	newsAt   Nanos
-	watched  RelID // the newest build seen on trial
-	trial    RelID // the newest build known
-	exposure []float64
-	refilled Nanos
-	metTrial map[KeyID]struct{}
+	news      News
+	newsAt    Nanos
+	ailedTill Nanos // how long failing workers count
+	watched   RelID // the newest build seen on trial
+	trial     RelID // the newest build known
+	exposure  []float64
+	refilled  Nanos
+	metTrial  map[KeyID]struct{}
 
 	own                   evidence
 	peers                 []evidence // by their number
