Pool losses by groups of workers; leave the worst group out after adding up

Covers: any build that fails thinly over many sentries. Harm: one bad machine in each group passes for the build, unless the baseline fails alike.

--- a/logic/helper.go
+++ b/logic/helper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math"
 	"slices"
 	"sort"
@@ -27,6 +28,9 @@
 // enter puts a worker into the map and, by its id, into the order; it takes the place of one with its id.
 func (s *Sentry) enter(w *worker) *worker {
 	_, known := s.workers[w.ID]
+	sum := fnv.New32a()
+	sum.Write([]byte(w.ID))
+	w.group = int(sum.Sum32()>>8) % len(s.own.groups)
 	s.workers[w.ID] = w
 	at := sort.Search(len(s.order), func(i int) bool { return s.order[i].ID >= w.ID })
 	if !known {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -651,6 +651,9 @@
 		w.counted = s.now
 		w.against += by
 		*side += by
+		if side == &s.own.against {
+			s.own.groups[w.group] += by
+		}
 	}
 }
 
@@ -769,6 +772,7 @@
 	if w := s.workers[id]; w != nil && w.Start <= now-age {
 		s.own.pairs++
 		s.own.against += bit(w.Rel == s.trial)
+		s.own.groups[w.group] += bit(w.Rel == s.trial)
 		s.own.favour += bit(w.Rel != s.trial)
 	}
 }
@@ -829,6 +833,11 @@
 			all.add(e)
 		}
 	}
+	// Danger: who has seen one loss at one worker would leave it out, and so would all. Of many sentries each tells
+	// what it saw by groups of workers, the same for all; the worst group is left out once all is added up.
+	if s.part < 1 {
+		all.leanAgainst, all.leanFavour = all.against-slices.Max(all.groups[:]), all.favour*3/4
+	}
 	gathers := s.gather()
 	erring := sum(fails) - worst(fails, min(max(1, out), len(fails)-1))
 	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -334,7 +334,7 @@
 		}
 		return OK, 50 * Millisecond
 	})
-	want(t, "told", len(r.told), 14)
+	want(t, "told", len(r.told), 22)
 	other.Told(other.clock, 1, r.told)
 	other.Told(other.clock, 0, []byte("no evidence"))
 	other.Told(other.clock, 9, r.told)
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,6 +59,7 @@
 	against   float64 // discordant pairs that it lost for the trial
 	silent    bool
 	due       bool    // its turn has begun
+	group     int     // of workers, the same for all sentries
 	times     spread  // logs of times over the typical one, of late
 	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
@@ -276,35 +277,49 @@
 	rel                                                   RelID
 	at                                                    Nanos
 	pairs, against, favour, leanAgainst, leanFavour, seen float64
-	tried                                                 float64 // all that the trial answered; not told
+	groups                                                [4]float64 // against, by group of workers
+	tried                                                 float64    // all that the trial answered; not told
 }
 
 func (e *evidence) fade(kept float64) {
 	e.pairs, e.against, e.favour = e.pairs*kept, e.against*kept, e.favour*kept
 	e.tried *= kept
+	for i := range e.groups {
+		e.groups[i] *= kept
+	}
 }
 
 func (e *evidence) add(o *evidence) {
 	e.pairs, e.against, e.favour = e.pairs+o.pairs, e.against+o.against, e.favour+o.favour
+	for i := range e.groups {
+		e.groups[i] += o.groups[i]
+	}
 	e.leanAgainst, e.leanFavour, e.seen = e.leanAgainst+o.leanAgainst, e.leanFavour+o.leanFavour, e.seen+o.seen
 }
 
+// figures are what a message holds, in its order.
+func (e *evidence) figures() [10]*float64 {
+	g := &e.groups
+	return [10]*float64{&e.pairs, &e.against, &e.favour, &e.leanAgainst, &e.leanFavour, &e.seen, &g[0], &g[1], &g[2], &g[3]}
+}
+
 // pack writes the evidence on a build as a message; unpack reads one, and leaves out what is none.
 func (e *evidence) pack(rel RelID) []byte {
 	data := binary.BigEndian.AppendUint16(nil, uint16(rel))
-	for _, v := range []float64{e.pairs, e.against, e.favour, e.leanAgainst, e.leanFavour, e.seen} {
-		data = binary.BigEndian.AppendUint16(data, uint16(min(max(v, 0)*10, math.MaxUint16)))
+	for _, v := range e.figures() {
+		data = binary.BigEndian.AppendUint16(data, uint16(min(max(*v, 0)*10, math.MaxUint16)))
 	}
 	return data
 }
 
 func (e *evidence) unpack(data []byte) {
 	*e = evidence{}
-	if len(data) != 14 {
+	figures := e.figures()
+	if len(data) != 2+2*len(figures) {
 		return
 	}
 	e.rel = RelID(binary.BigEndian.Uint16(data))
-	for i, v := range []*float64{&e.pairs, &e.against, &e.favour, &e.leanAgainst, &e.leanFavour, &e.seen} {
+	for i, v := range figures {
 		*v = float64(binary.BigEndian.Uint16(data[2+2*i:])) / 10
 	}
 }
