--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,6 @@
 	trickle      = 1 * Second        // between tries at a worker that is silent or rests
 	coldUsed     = 0.7               // part of the cold budget that is used
 	forget       = 0.005             // of what a worker showed, from beat to beat
-	dueFrom      = 0.8               // part of a round after which a worker's next turn may come
 	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
 	ownBurst     = 100 * Millisecond
 	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
@@ -376,7 +375,7 @@
 
 // rotate picks the next worker of a side in turn, a cold one less often, among those as near as the own zone.
 // Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; and what cold
-// workers may not take would crowd the warm ones. So nobody is picked long before its turn.
+// workers may not take would crowd the warm ones. So nobody is picked a round before its turn.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
 	near, sum := false, 0.0
 	for _, w := range side {
@@ -396,7 +395,7 @@
 			w.due, w.turn = true, s.rng.Float64()*sum
 		}
 		w.turn = min(w.turn+s.ramp(w), 2*sum)
-		if w.turn >= dueFrom*sum && (best == nil || w.turn > best.turn) && s.room(w, t) && s.maySend(t, w) {
+		if w.turn >= 0 && (best == nil || w.turn > best.turn) && s.room(w, t) && s.maySend(t, w) {
 			best = w
 		}
 	}
