--- a/logic/helper.go
+++ b/logic/helper.go
@@ -58,6 +58,13 @@
 func (v *spread) mean() float64     { return v.sum / v.n }
 func (v *spread) variance() float64 { return max(0, v.square/v.n-v.mean()*v.mean()) }
 
+// over tells by how many standard errors the mean is over x: the variance leans on the usual one as on so many
+// values, and the parts differ by themselves.
+func (v *spread) over(x, usual, weight, unlike float64) float64 {
+	variance := (v.n*v.variance() + weight*usual) / (v.n + weight)
+	return (v.mean() - x) / math.Sqrt(variance/v.n+unlike*unlike*(1/float64(v.parts)+0.2))
+}
+
 // pooled sums the workers' times but for the slowest ones.
 func pooled(side []*worker, out int) spread {
 	slices.SortStableFunc(side, func(a, b *worker) int { return cmp.Compare(b.times.mean(), a.times.mean()) })
@@ -79,14 +86,6 @@
 	return max(p, 0)
 }
 
-func sum(values []float64) float64 {
-	all := 0.0
-	for _, v := range values {
-		all += v
-	}
-	return all
-}
-
 // worst sums the n largest of the values.
 func worst(values []float64, n int) float64 {
 	sort.Float64s(values)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,58 +18,39 @@
 
 // Tuned values: pure numbers, and spans that no setting gives.
 const (
-	beat         = 100 * Millisecond // housekeeping
-	warmUpAge    = 1 * Second        // younger workers of the pair give no evidence
-	pairFloor    = 11.5              // pairs before 'back'
-	few          = 4.0               // sentries; with more, each judges by less and as one of many
-	backLevel    = 0.01              // of the sign test of failures; stricter after
-	manyPairs    = 100.0             // as it looks often
-	spreadLevel  = 0.04              // of the same test without the worst workers
-	evidenceKept = 0.9954            // of the pairs, from beat to beat
-	holdLevel    = 0.10              // of the same test, under a clock
-	leadLevel    = 0.25              // a lead at this level stops 'on'
-	slowerBy     = 1.25              // a build this many times slower, at the most, is no worse
-	slowFloor    = 10.0              // trial times before they count; fewer for many sentries
-	followed     = 0.6               // share of errors from which they follow a key; half for a customer
-	errorFloor   = 0.003             // share of errors that a good build may show at the least
-	unlike       = 0.2               // deviation between like machines, on a log scale
-	slowBack     = 3.5               // standard errors by which the trial is slower still: 'back'
-	slowMany     = 0.2               // more of them for e times the sentries
-	slowStop     = 1.0               // and no 'on'
-	stakes       = 24.0              // trial outcomes that 'on' needs for a next stage on the whole fleet
-	rise         = 0.12              // rise of the log of all times that counts for its stage
-	dragged      = 0.8               // rise at which a build is taken to slow all
-	surge        = 1.2               // of the fresh demand before the trial, which explains one too
-	lacks        = 0.15              // of the usual capacity missing, which explains a drag
-	afterwards   = 15 * Second       // after a release, in which all being slower still counts against it
-	caution      = 10 * Second       // after workers of an earlier build failed
-	firstLevels  = 40.0              // outcomes before the level of all is known
-	dragTime     = 3 * Second        // and for how long
-	gatherers    = 6                 // sentries that are told what others saw
-	peerTrust    = 3 * Second        // age up to which another sentry's evidence counts
-	quietTimes   = 5.0               // typical times without a word after which a worker is silent
-	hedgeTimes   = 3.0               // typical times after which a second copy goes out
-	hedgeShare   = 0.06              // second copies a txn
-	againShare   = 0.25              // further submissions a txn
-	tryShare     = 0.04              // tries at workers that are silent or rest, a txn
-	restAbove    = 0.35              // share of faults at which a worker rests
-	trickle      = 1 * Second        // between tries at a worker that is silent or rests
-	coldUsed     = 0.7               // part of the cold budget that is used
-	forget       = 0.005             // of what a worker showed, from beat to beat
-	crossTimes   = 15.0              // a crossing counts as this many times its price in waiting
-	ownBurst     = 100 * Millisecond
-	leastOpen    = 1.0  // txns that a worker may hold of this sentry, whatever it showed
-	slowShare    = 0.08 // of answers that may take two thirds of the SLA time: the limit settles there
-	usualTimes   = 1.5  // of what workers held in good times, which they may hold at any time
-	limitStep    = 0.2
-	firstOpen    = 8.0 // and may hold before it showed anything
-	firstTimes   = 0.2 // of its SLA time that a product is taken to need before it showed anything
+	beat     = 100 * Millisecond // housekeeping
+	ownBurst = beat              // in which what one worker loses counts once
+	few      = 4.0               // sentries; with more, each judges by less and as one of many
+	// The sign test: its level, stricter after so many pairs as it looks often; that without the worst workers;
+	// that for a hold under a clock; and that of a lead that stops 'on'.
+	backLevel, manyPairs, spreadLevel, holdLevel, leadLevel = 0.01, 100.0, 0.04, 0.10, 0.25
+	pairFloor, evidenceKept                                 = 11.5, 0.9954 // pairs before 'back'; part of them kept from beat to beat
+	warmUpAge                                               = 1 * Second   // younger workers of the pair give no evidence
+	caution                                                 = 10 * Second  // after workers of an earlier build failed
+	followed, errorFloor                                    = 0.6, 0.003   // share of errors that follows a key (half: a customer); that a good build has
+	// Times: a build this many times slower is no worse; trial times before they count; deviation between like
+	// machines, on a log scale; standard errors that mean 'back', more of them for e times the sentries, and no 'on'.
+	slowerBy, slowFloor, unlike, slowBack, slowMany, slowStop = 1.25, 10.0, 0.2, 3.5, 0.2, 1.0
+	// The level of all: a rise that counts for its stage; one at which a build is taken to slow all, and for how
+	// long, also so long after its release; fresh demand, and the part of capacity missing, that explain one.
+	rise, dragged, surge, lacks, firstLevels = 0.12, 0.8, 1.2, 0.15, 40.0
+	dragTime, afterwards                     = 3 * Second, 15 * Second
+	stakes, gatherers, peerTrust             = 24.0, 6, 3 * Second // outcomes that 'on' needs for the whole fleet; who pools
+	// Typical times without a word after which a worker is silent, and until a second copy; second copies and
+	// further submissions a txn; the share of faults at which a worker rests, and for how long.
+	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
+	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005 // forgotten from beat to beat
+	coldUsed, crossTimes                           = 0.7, 15.0               // of a cold budget; of the price of a crossing, in waiting
+	// Txns that a worker may hold: at the least and at first, for few sentries; the share of answers that may take
+	// two thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
+	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{}, blur: 0.5, unsteady: 1, squeeze: 1}
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]struct{}{}, refilled: now, places: map[where]*place{},
+		blur: 0.5, unsteady: 1, squeeze: 1}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
@@ -111,31 +92,8 @@
 	s.emit()
 }
 
-// ramp is the part of its capacity that a worker may have by now.
-func (s *Sentry) ramp(w *worker) float64 {
-	cold := s.span("rules.cold", 0)
-	if w.Start <= 0 || cold <= 0 || s.now-w.Start >= cold {
-		return 1
-	}
-	from := s.num("rules.cold-from", 1)
-	return from + (1-from)*max(0, float64(s.now-w.Start)/float64(cold))
-}
-
 func (s *Sentry) fit(w *worker) bool { return !w.silent && w.bad < restAbove }
 
-// onTrial tells whether a build's exposure is bounded.
-func (s *Sentry) onTrial(rel RelID) bool {
-	return rel > s.news.Rel || rel == s.news.Rel && s.news.Phase != Released
-}
-
-// capNow is the exposure that the trial may have; a build that no news named is in its first stage.
-func (s *Sentry) capNow() float64 {
-	if s.trial > s.news.Rel {
-		return s.num("release.caps.0", 0)
-	}
-	return s.news.Cap
-}
-
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
 	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
@@ -237,15 +195,6 @@
 	return !s.bound(t) || w.Rel >= s.trial
 }
 
-// bound tells that a key that the trial has answered must not meet an earlier build.
-func (s *Sentry) bound(t *txn) bool {
-	if t.Key == 0 || len(s.metTrial) == 0 {
-		return false
-	}
-	_, met := s.metTrial[t.Key]
-	return met
-}
-
 // mayDecline tells whether the client may be told that trying again does no harm.
 func (s *Sentry) mayDecline(t *txn) bool {
 	p := &s.products[t.Product]
@@ -291,7 +240,6 @@
 	t := &s.slab[at]
 	s.taken++
 	s.hedges, s.agains = min(s.hedges+hedgeShare, 1+20*s.part), min(s.agains+againShare, 1+50*s.part)
-	s.tries = min(s.tries+tryShare, 2)
 	s.exposure[s.lane(t.Product)] += s.capNow() // refill holds it to its depth
 	s.place(at)
 	if p := &s.products[t.Product]; (p.inquiry || p.ref) && s.flag("allow.copies") {
@@ -377,18 +325,14 @@
 // Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; and what cold
 // workers may not take would crowd the warm ones. So nobody is picked a round before its turn.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
-	near, sum := false, 0.0
+	near, sum := slices.ContainsFunc(side, s.near), 0.0
+	takes := func(w *worker) bool { return s.fit(w) && (!near || s.near(w)) }
 	for _, w := range side {
-		if n := s.near(w); n && !near {
-			near, sum = true, 0
-		}
-		if s.near(w) || !near && s.fit(w) {
-			sum += s.ramp(w)
-		}
+		sum += s.ramp(w) * bit(takes(w))
 	}
 	var best *worker
 	for _, w := range side {
-		if !s.fit(w) || near && !s.near(w) {
+		if !takes(w) {
 			continue
 		}
 		if !w.due { // a first turn at random, or many sentries would all begin with the same
@@ -410,18 +354,12 @@
 func (s *Sentry) room(w *worker, t *txn) bool {
 	// Danger: a limit that storms have pushed down stays there where long txns are common. What workers held
 	// while nothing was declined and few answers were slow is allowed at any time.
-	limit := s.limit(w)
-	if t.n > 0 {
-		limit *= 0.8
-	}
+	limit := max(w.limit*s.squeeze, usualTimes*s.usual) * (1 - 0.2*bit(t.n > 0))
 	// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
 	return float64(w.open) < limit && (s.part == 1 || float64(s.held) < s.allowed)
 }
 
-// limit is what w may hold; what is learnt of one worker tells of all where each is seldom met.
-func (s *Sentry) limit(w *worker) float64 { return max(w.limit*s.squeeze, usualTimes*s.usual) }
-
-// widen moves the limit of w by a factor.
+// widen moves the limit of w by a factor; what is learnt of one worker tells of all where each is seldom met.
 func (s *Sentry) widen(w *worker, by float64) {
 	w.limit = max(leastOpen*s.part, w.limit*by)
 	s.squeeze = min(max(s.squeeze*(1+(by-1)*s.blur*(1-s.part)), 0.1), 2)
@@ -438,8 +376,8 @@
 		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * s.crossing(w)
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
-			// be repeated now and then, as a share of all; this also brings back whatever has recovered.
-			if s.tries < 1 || s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
+			// be repeated now and then, the less the seldomer it is met; this also brings back whatever has recovered.
+			if s.now < w.nextTry || t.n > 0 || !s.products[t.Product].inquiry {
 				continue
 			}
 			cost = 0
@@ -452,8 +390,7 @@
 		}
 	}
 	if best != nil && !s.fit(best) {
-		best.nextTry = s.now + trickle
-		s.tries--
+		best.nextTry = s.now + Nanos(float64(trickle)*max(1, 5*s.seldom))
 	}
 	return best
 }
@@ -476,9 +413,8 @@
 	if o.Over {
 		t.has = settled
 	}
-	if o.Ending == OK && sub.rel == s.trial && t.Key != 0 && s.flag("release.one-way") &&
-		(s.onTrial(s.trial) && s.news.Phase != GoingBack && s.news.Phase != Withdrawn || s.news.Phase == Released) {
-		s.metTrial[t.Key] = struct{}{}
+	if o.Ending == OK && sub.rel == s.trial {
+		s.meet(t)
 	}
 	if t.has == unanswered {
 		// Danger: workers that turn away all that comes would be asked by each txn in turn, and drown.
@@ -523,15 +459,17 @@
 	if o.Load != nil && o.Load.Queue >= 0 {
 		w.queue = o.Load.Queue
 	}
+	if o.Ending == OK || o.Ending == Full || o.Ending == Erred {
+		w.heard, w.silent = s.now, false
+	}
 	switch o.Ending {
 	case OK:
-		w.heard, w.silent = s.now, false
 		w.bad *= 0.85
 		s.done++
 		s.late += 0.02 * (bit(o.Elapsed > p.sla*2/3) - s.late)
 		if o.Elapsed > p.sla*2/3 {
 			s.widen(w, 1-limitStep*(1-slowShare))
-		} else if float64(w.open) >= s.limit(w)/2 || float64(s.held) >= s.allowed/2 && s.part < 1 {
+		} else if float64(w.open) >= w.limit*s.squeeze/2 || float64(s.held) >= s.allowed/2 && s.part < 1 {
 			s.widen(w, 1+limitStep*slowShare)
 		}
 		w.slow += 0.15 * (min(times, 20) - w.slow)
@@ -542,10 +480,8 @@
 			p.typical += max(0.01, 1/float64(p.learnt)) * (unit - p.typical)
 		}
 	case Full:
-		w.heard, w.silent = s.now, false
 		s.widen(w, 0.8)
 	case Erred:
-		w.heard, w.silent = s.now, false
 		if !s.follows(t, o.Ending, false) {
 			w.bad += 0.15 * (1 - w.bad)
 		}
@@ -585,9 +521,8 @@
 	}
 	if sub.rel == s.trial && (o.Ending == OK || o.Ending == Erred) {
 		s.own.tried++
-		if o.Ending == Erred && s.now-w.failedAt >= ownBurst {
-			w.fails, w.failedAt = w.fails+1, s.now
-		}
+		w.fails += bit(o.Ending == Erred && s.now-w.failedAt >= ownBurst)
+		w.failedAt = max(w.failedAt, s.now*Nanos(bit(o.Ending == Erred)))
 	}
 	if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
 		s.own.pairs++
@@ -609,38 +544,18 @@
 		return
 	}
 	show := showing{good, w}
-	if sub.arm == trialArm {
-		s.own.seen++
-		if len(p.waiting) < 64 {
-			p.waiting = append(p.waiting, show)
-		}
-	} else if len(p.waiting) > 0 {
+	if p.show(sub.arm, show) {
 		s.pair(p.waiting[0], show)
-		copy(p.waiting, p.waiting[1:])
-		p.waiting = p.waiting[:len(p.waiting)-1]
+		p.waiting = slices.Delete(p.waiting, 0, 1)
 	}
+	s.own.seen += bit(sub.arm == trialArm)
 }
 
 // follows tells whether the errors seen on earlier builds follow the txn's customer or key, and counts on them.
 // Danger: workers that fail hit all customers alike; a customer stands out only beside the one that fares best.
 func (s *Sentry) follows(t *txn, e Ending, count bool) bool {
-	c, k := &s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]
-	if count && (e == OK || e == Erred) {
-		*c += 0.1 * (bit(e == Erred) - *c)
-		*k += 0.1 * (bit(e == Erred) - *k)
-	}
-	others := s.blame[1:min(16, 1+int(s.num("customers.count", 0)))]
-	return t.Key != 0 && *k > followed || len(others) > 1 && *c > followed/2 && *c > 3*slices.Min(others)
-}
-
-// pair counts one pair (step 4).
-func (s *Sentry) pair(trial, base showing) {
-	s.own.pairs++
-	if trial.good && !base.good {
-		s.lose(base.worker, &s.own.favour, 1)
-	} else if base.good && !trial.good {
-		s.lose(trial.worker, &s.own.against, 1)
-	}
+	byCustomer, byKey, least := s.blamed(t, e, bit(count && (e == OK || e == Erred))*0.1)
+	return t.Key != 0 && byKey > followed || byCustomer > followed/2 && byCustomer > 3*least
 }
 
 // lose counts a discordant pair that w lost.
@@ -650,16 +565,10 @@
 		w.counted = s.now
 		w.against += by
 		*side += by
-		if side == &s.own.against {
-			s.own.groups[w.group] += by
-		}
+		s.own.groups[w.group] += by * bit(side == &s.own.against)
 	}
 }
 
-// Streaming takes the start of a streamed answer, which is the client's now; Left, that a client has left.
-func (s *Sentry) Streaming(now Nanos, id TxnID, number int) { s.end(now, id, number+1) }
-func (s *Sentry) Left(now Nanos, id TxnID)                  { s.end(now, id, 0) }
-
 // Timer takes a timer: the beat, or a txn that has waited for long.
 func (s *Sentry) Timer(now Nanos, token uint64) {
 	s.now = now
@@ -704,12 +613,13 @@
 			}
 		}
 	}
-	held := 0.0
+	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
+		s.usual += 0.01 * (float64(s.held)/s.fleet - s.usual)
+	}
 	s.allowed, s.squeeze = 0, s.squeeze+forget*(1-s.squeeze)
 	for _, w := range s.order {
-		held += min(float64(w.open), max(1, w.limit))
 		if w.State == Up && s.fit(w) {
-			s.allowed += s.limit(w) * s.ramp(w)
+			s.allowed += max(w.limit*s.squeeze, usualTimes*s.usual) * s.ramp(w)
 		}
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
@@ -717,16 +627,9 @@
 		w.queue *= 0.93
 	}
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
-	s.blur = min(0.5, 0.02+0.03*s.fleet/max(s.carried, 0.1))
-	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
-		s.usual += 0.01 * (held/s.fleet - s.usual)
-	}
-	s.home = 0 // the slowest place in the own zone
-	for at, p := range s.places {
-		if at.zone == ZoneID(s.num("zone", -1)) {
-			s.home = max(s.home, p.slow)
-		}
-	}
+	s.seldom = (1 - s.part) * s.fleet / max(s.carried, 0.1) // seconds between meetings, of many sentries
+	s.blur = min(0.5, 0.02+0.03*s.seldom)
+	s.slowestAtHome()
 	s.arrange()
 	s.look()
 	s.judge()
@@ -776,15 +679,6 @@
 	}
 }
 
-// Told takes what another sentry has seen of a build.
-func (s *Sentry) Told(now Nanos, from int, data []byte) {
-	s.now = now
-	if from >= 0 && from < len(s.peers) {
-		s.peers[from].unpack(data)
-		s.peers[from].at = now
-	}
-}
-
 // judge sets down the vote that is wanted (steps 5 and 6).
 func (s *Sentry) judge() {
 	s.wantVote = NoVote
@@ -794,27 +688,11 @@
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
 	// left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
 	// Evidence from that time lives on for a while, and so does the caution.
-	s.ailing = s.now < s.ailedTill
-	trials, bases, fails := s.scratch[0][:0], s.scratch[1][:0], s.scratch[2][:0]
-	for _, w := range s.order {
-		w.against *= evidenceKept
-		if w.State != Up {
-			continue
-		}
-		if w.fails *= evidenceKept; w.Rel == s.trial {
-			fails = append(fails, w.fails)
-			// Danger: a build that fails only some time after its start is not cleared by younger workers.
-			if w.Start <= 0 || s.now-w.Start >= 2*s.span("rules.cold", 0) || w.against > 1 {
-				trials = append(trials, w.against)
-			}
-		} else {
-			bases = append(bases, w.against)
-			if w.bad > restAbove/2 {
-				s.ailing, s.ailedTill = true, s.now+caution
-			}
-		}
+	trials, bases, erring, fault := s.losses(evidenceKept)
+	if fault > restAbove/2 {
+		s.ailedTill = s.now + caution
 	}
-	s.scratch = [3][]float64{trials, bases, fails}
+	s.ailing = s.now < s.ailedTill
 	s.own.fade(evidenceKept)
 	out := (len(trials) + 4) / 5
 	if s.ailing {
@@ -826,21 +704,17 @@
 	s.own.leanAgainst = s.own.against - worst(trials, out)
 	// Each sees a part only; where messages are allowed all judge by what all saw, so that the one that has seen
 	// least does not push a build that others see fail. Lost messages cost only their part of the evidence.
-	all := s.own
-	for i := range s.peers {
-		if e := &s.peers[i]; e.rel == s.trial && s.now-e.at < peerTrust {
-			all.add(e)
-		}
-	}
+	all := s.pool(peerTrust)
 	// Danger: who has seen one loss at one worker would leave it out, and so would all. Of many sentries each tells
 	// what it saw by groups of workers, the same for all; the worst group is left out once all is added up.
 	if s.part < 1 {
 		all.leanAgainst, all.leanFavour = all.against-slices.Max(all.groups[:]), all.favour*3/4
 	}
 	gathers := s.gather()
-	erring := sum(fails) - worst(fails, min(max(1, out), len(fails)-1))
-	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
+	// Danger: where each sees little, a failing build is released before any sees pairs enough. Errors are rare, so
+	// a few at two workers or more are told from the usual share; not while machines fail as well.
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
+	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
 	age := s.news.Age + s.now - s.newsAt
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
@@ -848,7 +722,8 @@
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
 	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel && !s.ailing || spread < level)
 	switch {
-	case failing, slow > slowBack+slowMany*s.many, !s.ailing && len(fails) > 1 && fluke < backLevel/few*math.Exp(-s.many), s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
+	case failing, slow > slowBack+slowMany*s.many, !s.ailing && fluke < backLevel/few*math.Exp(-s.many),
+		s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
 	case s.word("release.votes") == "clocked":
@@ -895,19 +770,12 @@
 // builds, on a log scale, without its slowest quarter of workers: a lone one says nothing, as one slow
 // machine is likelier than that and the next stage brings others.
 func (s *Sentry) slowness(floor float64) float64 {
-	s.side = s.side[:0]
-	for _, w := range s.order {
-		if w.Rel == s.trial && w.times.n > 0 {
-			s.side = append(s.side, w)
-		}
-	}
+	s.timed()
 	all := pooled(s.side, (len(s.side)+3)/4)
 	if all.n < floor || all.parts == 0 {
 		return 0
 	}
-	variance := (all.n*all.variance() + slowFloor*s.unsteady) / (all.n + slowFloor)
-	skew := s.skew.sum / (s.skew.n + slowFloor)
-	return (all.mean() - skew - math.Log(slowerBy)) / math.Sqrt(variance/all.n+unlike*unlike*(1/float64(all.parts)+0.2))
+	return all.over(math.Log(slowerBy)+s.skew.sum/(s.skew.n+slowFloor), s.unsteady, slowFloor, unlike)
 }
 
 // look sees to the level of all: a build may slow every worker, so that no pair shows it. Then earlier builds
--- a/logic/state.go
+++ b/logic/state.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"math/rand"
+	"slices"
 	"strconv"
 )
 
@@ -136,17 +137,17 @@
 	creditBase          float64
 	fleet               float64 // workers that usually carry the load
 	carried, beats      float64 // submissions settled a second; beats since the start
+	fresh, calmFresh    float64 // txns a second less those given up; before the trial
 	taken, turned, done int     // txns, those given up (their clients may try again), submissions settled
-	fresh, calmFresh    float64 // txns a second less those; before the trial
 	hedges, agains      float64 // further submissions left
-	tries               float64 // submissions left for workers that are not fit
+	seldom              float64 // seconds after which a worker is met again, where there are many sentries
 	home                float64 // what the slowest place of the own zone takes over the typical time
 	blur                float64 // how much chance mixes into the pick of a worker
 	places              map[where]*place
-	usual, late         float64 // txns a worker holds in good times; share of slow answers
-	declinedAt          Nanos
 	many                float64 // log of how many times the few there are, for each vote that is needed
 	part                float64 // of what few sentries may each hold
+	usual, late         float64 // txns a worker holds in good times; share of slow answers
+	declinedAt          Nanos
 	squeeze, allowed    float64 // on all limits; what may be held in all
 	held                int
 
@@ -173,7 +174,7 @@
 	skew                  spread       // as the trial's times, of the baseline
 	unsteady              float64      // variance of the log of times of earlier builds
 	rises, roseAt         int          // stages with a rise
-	scratch               [3][]float64
+	scratch               [2][]float64
 	side                  []*worker
 
 	wantVote          Verdict
@@ -282,8 +283,7 @@
 }
 
 func (e *evidence) fade(kept float64) {
-	e.pairs, e.against, e.favour = e.pairs*kept, e.against*kept, e.favour*kept
-	e.tried *= kept
+	e.pairs, e.against, e.favour, e.tried = e.pairs*kept, e.against*kept, e.favour*kept, e.tried*kept
 	for i := range e.groups {
 		e.groups[i] *= kept
 	}
@@ -350,3 +350,134 @@
 	at := int32(token & math.MaxUint32)
 	return at, int(at) < len(s.slab) && s.slab[at].gen == uint32(token>>32) && s.slab[at].has == unanswered
 }
+
+// onTrial tells whether a build's exposure is bounded.
+func (s *Sentry) onTrial(rel RelID) bool {
+	return rel > s.news.Rel || rel == s.news.Rel && s.news.Phase != Released
+}
+
+// capNow is the exposure that the trial may have; a build that no news named is in its first stage.
+func (s *Sentry) capNow() float64 {
+	if s.trial > s.news.Rel {
+		return s.num("release.caps.0", 0)
+	}
+	return s.news.Cap
+}
+
+// bound tells that a key that the trial has answered must not meet an earlier build.
+func (s *Sentry) bound(t *txn) bool {
+	if t.Key == 0 || len(s.metTrial) == 0 {
+		return false
+	}
+	_, met := s.metTrial[t.Key]
+	return met
+}
+
+// Told takes what another sentry has seen of a build.
+func (s *Sentry) Told(now Nanos, from int, data []byte) {
+	s.now = now
+	if from >= 0 && from < len(s.peers) {
+		s.peers[from].unpack(data)
+		s.peers[from].at = now
+	}
+}
+
+// ramp is the part of its capacity that a worker may have by now.
+func (s *Sentry) ramp(w *worker) float64 {
+	cold := s.span("rules.cold", 0)
+	if w.Start <= 0 || cold <= 0 || s.now-w.Start >= cold {
+		return 1
+	}
+	from := s.num("rules.cold-from", 1)
+	return from + (1-from)*max(0, float64(s.now-w.Start)/float64(cold))
+}
+
+// pair counts one pair (step 4).
+func (s *Sentry) pair(trial, base showing) {
+	s.own.pairs++
+	if trial.good && !base.good {
+		s.lose(base.worker, &s.own.favour, 1)
+	} else if base.good && !trial.good {
+		s.lose(trial.worker, &s.own.against, 1)
+	}
+}
+
+// Streaming takes the start of a streamed answer, which is the client's now; Left, that a client has left.
+func (s *Sentry) Streaming(now Nanos, id TxnID, number int) { s.end(now, id, number+1) }
+func (s *Sentry) Left(now Nanos, id TxnID)                  { s.end(now, id, 0) }
+
+// blamed gives the smoothed shares of errors of t's customer, its key and the customer with the least, after
+// counting one more ending at that weight.
+func (s *Sentry) blamed(t *txn, e Ending, weight float64) (byCustomer, byKey, least float64) {
+	c, k := &s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]
+	*c += weight * (bit(e == Erred) - *c)
+	*k += weight * (bit(e == Erred) - *k)
+	if others := s.blame[1:min(16, 1+int(s.num("customers.count", 0)))]; len(others) > 1 {
+		return *c, *k, slices.Min(others)
+	}
+	return 0, *k, 0
+}
+
+// timed gathers the workers of the newest build whose times are known.
+func (s *Sentry) timed() {
+	s.side = s.side[:0]
+	for _, w := range s.order {
+		if w.Rel == s.trial && w.times.n > 0 {
+			s.side = append(s.side, w)
+		}
+	}
+}
+
+// slowestAtHome notes the slowest place in the own zone.
+func (s *Sentry) slowestAtHome() {
+	s.home = 0
+	for at, p := range s.places {
+		if at.zone == ZoneID(s.num("zone", -1)) {
+			s.home = max(s.home, p.slow)
+		}
+	}
+}
+
+// show keeps what the trial showed, and tells whether what the baseline showed meets any of it.
+func (p *product) show(side arm, by showing) bool {
+	if side == trialArm && len(p.waiting) < 64 {
+		p.waiting = append(p.waiting, by)
+	}
+	return side == baseArm && len(p.waiting) > 0
+}
+
+// meet notes that the newest build has answered t's key, until it goes back.
+func (s *Sentry) meet(t *txn) {
+	if t.Key != 0 && s.flag("release.one-way") && s.news.Phase != GoingBack && s.news.Phase != Withdrawn {
+		s.metTrial[t.Key] = struct{}{}
+	}
+}
+
+// losses lists, after fading, the pairs that each worker lost on the trial's side and on the other, and gives the
+// trial's errors without its worst worker and the largest share of faults at an earlier build.
+func (s *Sentry) losses(kept float64) (trials, bases []float64, erring, fault float64) {
+	trials, bases = s.scratch[0][:0], s.scratch[1][:0]
+	most := 0.0
+	for _, w := range s.order {
+		w.against, w.fails = w.against*kept, w.fails*kept
+		if w.State == Up && w.Rel == s.trial {
+			trials = append(trials, w.against)
+			erring, most = erring+w.fails, max(most, w.fails)
+		} else if w.State == Up {
+			bases, fault = append(bases, w.against), max(fault, w.bad)
+		}
+	}
+	s.scratch = [2][]float64{trials, bases}
+	return trials, bases, erring - most, fault
+}
+
+// pool adds to the own evidence what others have told of late.
+func (s *Sentry) pool(trust Nanos) evidence {
+	all := s.own
+	for i := range s.peers {
+		if e := &s.peers[i]; e.rel == s.trial && s.now-e.at < trust {
+			all.add(e)
+		}
+	}
+	return all
+}
