--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,7 +124,7 @@
 	if s.fleet += (up - s.fleet) * 0.003; s.fleet <= 1 {
 		s.fleet = up
 	}
-	s.lacking, s.heed = able < (1-lacks)*s.fleet, 0.02*bit(able >= (1-lacks)*s.fleet)
+	s.lacking, s.heed = able < (1-lacks)*s.fleet, 0.03*bit(able >= (1-lacks)*s.fleet)
 	s.tiltTrial, s.tiltBase = 0, 0
 	if len(s.trials) == 0 || all <= 0 {
 		return
