--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,25 +24,28 @@
 	// The sign test: its level, stricter after so many pairs as it looks often; that without the worst workers;
 	// that for a hold under a clock; and that of a lead that stops 'on'.
 	backLevel, manyPairs, spreadLevel, holdLevel, leadLevel = 0.01, 100.0, 0.04, 0.10, 0.25
-	pairFloor, evidenceKept                                 = 11.5, 0.9954 // pairs before 'back'; part of them kept from beat to beat
-	warmUpAge                                               = 1 * Second   // younger workers of the pair give no evidence
-	caution                                                 = 10 * Second  // after workers of an earlier build failed
-	followed, errorFloor                                    = 0.6, 0.003   // share of errors that follows a key (half: a customer); that a good build has
+	// Pairs before 'back'; part of them kept from beat to beat; younger workers of the pair give no evidence; how
+	// long the failing of an earlier build's workers counts.
+	pairFloor, evidenceKept, warmUpAge, caution = 11.5, 0.9954, 1 * Second, 10 * Second
+	// Share of errors that follows a key (half: a customer), and one that a good build may have.
+	followed, errorFloor = 0.6, 0.003
 	// Times: a build this many times slower is no worse; trial times before they count; deviation between like
-	// machines, on a log scale; standard errors that mean 'back', more of them for e times the sentries, and no 'on'.
+	// machines, on a log scale; standard errors that mean 'back', more for e times the sentries, and no 'on'.
 	slowerBy, slowFloor, unlike, slowBack, slowMany, slowStop = 1.25, 10.0, 0.2, 3.5, 0.2, 1.0
 	// The level of all: a rise that counts for its stage; one at which a build is taken to slow all, and for how
 	// long, also so long after its release; fresh demand, and the part of capacity missing, that explain one.
 	rise, dragged, surge, lacks, firstLevels = 0.12, 0.8, 1.2, 0.15, 40.0
 	dragTime, afterwards                     = 3 * Second, 15 * Second
-	stakes, gatherers, peerTrust             = 24.0, 6, 3 * Second // outcomes that 'on' needs for the whole fleet; who pools
+	// Outcomes that 'on' needs for the whole fleet; sentries that pool; how long what they were told counts.
+	stakes, gatherers, peerTrust = 24.0, 6, 3 * Second
 	// Typical times without a word after which a worker is silent, and until a second copy; second copies and
-	// further submissions a txn; the share of faults at which a worker rests, and for how long.
+	// further submissions a txn; the share of faults at which a worker rests, for how long at the least, and what
+	// is forgotten from beat to beat; part used of a cold budget; a crossing's price, in waiting.
 	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
-	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005 // forgotten from beat to beat
-	coldUsed, crossTimes                           = 0.7, 15.0               // of a cold budget; of the price of a crossing, in waiting
-	// Txns that a worker may hold: at the least and at first, for few sentries; the share of answers that may take
-	// two thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
+	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
+	coldUsed, crossTimes                           = 0.7, 15.0
+	// Txns a worker may hold, of few sentries: at the least, at first; the share of answers that may take two
+	// thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
 	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
 )
 
@@ -131,14 +134,11 @@
 	}
 	s.tiltTrial = min(trial/all, s.capNow())
 	// The baseline: as many of the newest earlier-build workers, those of the trial's kinds of machine first.
+	like := func(w *worker) float64 {
+		return bit(s.fit(w) && slices.ContainsFunc(s.trials, func(t *worker) bool { return t.Kind == w.Kind }))
+	}
 	slices.SortStableFunc(s.rest, func(a, b *worker) int {
-		like := func(w *worker) int {
-			if s.fit(w) && slices.ContainsFunc(s.trials, func(t *worker) bool { return t.Kind == w.Kind }) {
-				return 0
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(like(a), like(b)), cmp.Compare(b.Rel, a.Rel), cmp.Compare(b.Start, a.Start))
+		return cmp.Or(cmp.Compare(like(b), like(a)), cmp.Compare(b.Rel, a.Rel), cmp.Compare(b.Start, a.Start))
 	})
 	n := min(len(s.trials), len(s.rest))
 	for n > 0 && !s.fit(s.rest[n-1]) {
@@ -184,11 +184,8 @@
 		if w.Rel != s.trial || s.exposure[s.lane(t.Product)] < 1 || s.capNow() <= 0 {
 			return false
 		}
-		stage := s.news.Stage
-		if s.trial > s.news.Rel {
-			stage = 0
-		}
-		if stage < int(s.num("release.guarded-stages", 0)) && !p.inquiry {
+		guarded := int(s.num("release.guarded-stages", 0))
+		if !p.inquiry && guarded > 0 && (s.trial > s.news.Rel || s.news.Stage < guarded) {
 			return false
 		}
 	}
@@ -214,7 +211,7 @@
 		s.exposure[i] = min(deep, s.exposure[i]+dt*max(0, free-deep)/max(window, 0.001))
 	}
 	// Danger: any least amount is multiplied by the number of sentries. So a cold worker's bucket starts at a
-	// random part of one, grows by the even share of what this sentry has seen carried, and what it holds lapses.
+	// random part of one, grows by the even share of what this sentry saw carried, and what it holds lapses.
 	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1) * coldUsed
 	half := s.span("rules.fall-after", 0) / 2
 	for _, w := range s.order {
@@ -322,7 +319,7 @@
 func (s *Sentry) near(w *worker) bool { return s.fit(w) && w.place.slow*s.crossing(w) <= s.home }
 
 // rotate picks the next worker of a side in turn, a cold one less often, among those as near as the own zone.
-// Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; and what cold
+// Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; what cold
 // workers may not take would crowd the warm ones. So nobody is picked a round before its turn.
 func (s *Sentry) rotate(side []*worker, t *txn) *worker {
 	near, sum := slices.ContainsFunc(side, s.near), 0.0
@@ -482,9 +479,7 @@
 	case Full:
 		s.widen(w, 0.8)
 	case Erred:
-		if !s.follows(t, o.Ending, false) {
-			w.bad += 0.15 * (1 - w.bad)
-		}
+		w.bad += 0.15 * (1 - w.bad) * bit(!s.follows(t, o.Ending, false))
 	case Broken, ConnectFailed:
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
@@ -551,8 +546,8 @@
 	s.own.seen += bit(sub.arm == trialArm)
 }
 
-// follows tells whether the errors seen on earlier builds follow the txn's customer or key, and counts on them.
-// Danger: workers that fail hit all customers alike; a customer stands out only beside the one that fares best.
+// follows tells whether errors on earlier builds follow the txn's customer or key, and counts on.
+// Danger: failing workers hit all customers alike; one stands out only beside the one that fares best.
 func (s *Sentry) follows(t *txn, e Ending, count bool) bool {
 	byCustomer, byKey, least := s.blamed(t, e, bit(count && (e == OK || e == Erred))*0.1)
 	return t.Key != 0 && byKey > followed || byCustomer > followed/2 && byCustomer > 3*least
@@ -572,17 +567,10 @@
 // Timer takes a timer: the beat, or a txn that has waited for long.
 func (s *Sentry) Timer(now Nanos, token uint64) {
 	s.now = now
+	s.refill()
 	if token == 0 {
 		s.onBeat()
-		s.emit()
-		return
-	}
-	at, held := s.due(token)
-	if !held {
-		return
-	}
-	s.refill()
-	if t := &s.slab[at]; t.n == 1 && t.subs[0].out && s.hedges >= 1 {
+	} else if at, held := s.due(token); held && s.slab[at].n == 1 && s.slab[at].subs[0].out && s.hedges >= 1 {
 		s.hedges--
 		s.place(at)
 	}
@@ -591,7 +579,6 @@
 
 // onBeat looks after what no event brings up: silent workers, rates, the watch, votes.
 func (s *Sentry) onBeat() {
-	s.refill()
 	s.beats++
 	s.fresh += (float64(s.taken-s.turned)/(float64(beat)/float64(Second)) - s.fresh) * max(0.03, 1/s.beats)
 	s.carried += (float64(s.done)/(float64(beat)/float64(Second)) - s.carried) * max(0.02, 1/s.beats)
@@ -705,14 +692,14 @@
 	// Each sees a part only; where messages are allowed all judge by what all saw, so that the one that has seen
 	// least does not push a build that others see fail. Lost messages cost only their part of the evidence.
 	all := s.pool(peerTrust)
-	// Danger: who has seen one loss at one worker would leave it out, and so would all. Of many sentries each tells
-	// what it saw by groups of workers, the same for all; the worst group is left out once all is added up.
+	// Danger: who has seen one loss at one worker would leave it out, and so would all. Many sentries tell what
+	// they saw by groups of workers, the same for all; the worst group is left out once all is added up.
 	if s.part < 1 {
 		all.leanAgainst, all.leanFavour = all.against-slices.Max(all.groups[:]), all.favour*3/4
 	}
 	gathers := s.gather()
-	// Danger: where each sees little, a failing build is released before any sees pairs enough. Errors are rare, so
-	// a few at two workers or more are told from the usual share; not while machines fail as well.
+	// Danger: where each sees little, a failing build is released before any sees pairs enough. Errors are rare,
+	// so a few at two workers are told from the usual share; not while machines fail as well.
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
@@ -748,9 +735,9 @@
 	}
 }
 
-// gather has what was seen told, once a second, to a few sentries, others for each build, and says whether this
-// one is to judge 'on'. Danger: telling all grows with the square of the sentries, and the one that was told
-// least would push a build that the others see fail.
+// gather has what was seen told, once a second, to a few sentries, others for each build, and says whether
+// this one is to judge 'on'. Danger: telling all grows with the square of the sentries, and the one that was
+// told least would push a build that the others see fail.
 func (s *Sentry) gather() bool {
 	n := len(s.peers)
 	few := min(n, gatherers)
@@ -788,7 +775,7 @@
 		s.watched = s.trial
 	}
 	fresh := s.news.Phase == Released && s.watched == s.trial && s.news.Age+s.now-s.newsAt < afterwards
-	// Danger: a level that starts at nothing takes long to be true where txns are few, and hides any drag till then.
+	// Danger: a level that starts at nothing is long untrue where txns are few, and hides any drag till then.
 	if !onTrial && !fresh || s.levels < firstLevels {
 		s.calms++
 		s.calmLevel += max(0.01, 1/s.calms) * (s.level - s.calmLevel)
--- a/logic/state.go
+++ b/logic/state.go
@@ -168,7 +168,7 @@
 	calmLevel, drag       float64      // the level before the trial; its rise since
 	ailing, lacking       bool         // a worker ails; capacity is missing
 	heed                  float64      // weight of a txn in the level
-	warmLevel, stageLevel float64      // the level when last no worker was cold, and that at the start of the stage
+	warmLevel, stageLevel float64      // the level when last no worker was cold; at the stage's start
 	blame                 [256]float64 // shares of errors by customer and by key
 	usualErr              float64      // share of errors of earlier builds
 	skew                  spread       // as the trial's times, of the baseline
@@ -300,7 +300,8 @@
 // figures are what a message holds, in its order.
 func (e *evidence) figures() [10]*float64 {
 	g := &e.groups
-	return [10]*float64{&e.pairs, &e.against, &e.favour, &e.leanAgainst, &e.leanFavour, &e.seen, &g[0], &g[1], &g[2], &g[3]}
+	return [10]*float64{&e.pairs, &e.against, &e.favour, &e.leanAgainst, &e.leanFavour, &e.seen,
+		&g[0], &g[1], &g[2], &g[3]}
 }
 
 // pack writes the evidence on a build as a message; unpack reads one, and leaves out what is none.
@@ -453,8 +454,8 @@
 	}
 }
 
-// losses lists, after fading, the pairs that each worker lost on the trial's side and on the other, and gives the
-// trial's errors without its worst worker and the largest share of faults at an earlier build.
+// losses lists, after fading, the pairs that each worker lost on the trial's side and on the other, and gives
+// the trial's errors without its worst worker and the largest share of faults at an earlier build.
 func (s *Sentry) losses(kept float64) (trials, bases []float64, erring, fault float64) {
 	trials, bases = s.scratch[0][:0], s.scratch[1][:0]
 	most := 0.0
