--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,8 +24,8 @@
 	// The sign test: its level, stricter after so many pairs as it looks often; that without the worst workers;
 	// that for a hold under a clock; and that of a lead that stops 'on'.
 	backLevel, manyPairs, spreadLevel, holdLevel, leadLevel = 0.01, 100.0, 0.04, 0.10, 0.25
-	// Pairs before 'back'; part of them kept from beat to beat; younger workers of the pair give no evidence; how
-	// long the failing of an earlier build's workers counts.
+	// Pairs before 'back'; part of them kept from beat to beat; younger workers of the pair give no evidence;
+	// how long the failing of an earlier build's workers counts.
 	pairFloor, evidenceKept, warmUpAge, caution = 11.5, 0.9954, 1 * Second, 10 * Second
 	// Share of errors that follows a key (half: a customer), and one that a good build may have.
 	followed, errorFloor = 0.6, 0.003
@@ -44,7 +44,7 @@
 	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
 	coldUsed, crossTimes                           = 0.7, 15.0
-	// Txns a worker may hold, of few sentries: at the least, at first; the share of answers that may take two
+	// Txns a worker may hold, of few sentries: at the least, at first; share of answers that may take two
 	// thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
 	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
 )
@@ -790,7 +790,7 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged*(1+0.15*s.many) || s.rises < 1 || !onTrial && !fresh {
+	if s.drag < dragged*(1+0.25*s.many) || s.rises < 1 || !onTrial && !fresh {
 		s.draggedAt = s.now
 	}
 }
