Blame customers by what all builds answer

Covers: customers that start to fail at any stage. Harm: a build that fails one customer only is not seen.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,7 @@
 	// Outcomes that 'on' needs for the whole fleet; sentries that pool; how long what they were told counts.
 	stakes, gatherers, peerTrust = 24.0, 6, 3 * Second
 	// Typical times without a word after which a worker is silent, and until a second copy; second copies and
-	// further submissions a txn; the share of faults at which a worker rests, for how long at the least, and what
+	// further submissions a txn; the share of faults at which a worker rests, for how long at least, and what
 	// is forgotten from beat to beat; part used of a cold budget; a crossing's price, in waiting.
 	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
@@ -161,7 +161,7 @@
 	if t.has != unanswered || s.now >= t.Expiry || t.n >= min(int(s.num("allow.submissions", 1)), len(t.subs)) {
 		return false
 	}
-	if w.State != Up { // the grace of a drain is not used
+	if w.State != Up || s.ramp(w) < 1 && w.cold < 1 { // the grace of a drain is not used
 		return false
 	}
 	for i := 0; i < t.n; i++ {
@@ -177,9 +177,6 @@
 			}
 		}
 	}
-	if s.ramp(w) < 1 && w.cold < 1 {
-		return false
-	}
 	if s.onTrial(w.Rel) {
 		if w.Rel != s.trial || s.exposure[s.lane(t.Product)] < 1 || s.capNow() <= 0 {
 			return false
@@ -351,8 +348,8 @@
 func (s *Sentry) room(w *worker, t *txn) bool {
 	// Danger: a limit that storms have pushed down stays there where long txns are common. What workers held
 	// while nothing was declined and few answers were slow is allowed at any time.
-	limit := max(w.limit*s.squeeze, usualTimes*s.usual) * (1 - 0.2*bit(t.n > 0))
 	// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
+	limit := max(w.limit*s.squeeze, usualTimes*s.usual) * (1 - 0.2*bit(t.n > 0))
 	return float64(w.open) < limit && (s.part == 1 || float64(s.held) < s.allowed)
 }
 
@@ -416,7 +413,7 @@
 	if t.has == unanswered {
 		// Danger: workers that turn away all that comes would be asked by each txn in turn, and drown.
 		if now < t.Expiry && s.agains >= 1 && o.Ending != Cancelled &&
-			(o.Ending != Erred || !s.follows(t, o.Ending, false)) {
+			(o.Ending != Erred || !s.follows(t, o.Ending, 0, 0)) {
 			s.agains--
 			s.place(at)
 		} else {
@@ -479,7 +476,7 @@
 	case Full:
 		s.widen(w, 0.8)
 	case Erred:
-		w.bad += 0.15 * (1 - w.bad) * bit(!s.follows(t, o.Ending, false))
+		w.bad += 0.15 * (1 - w.bad) * bit(!s.follows(t, o.Ending, 0, 0))
 	case Broken, ConnectFailed:
 		w.bad += 0.4 * (1 - w.bad)
 	case TimedOut, Cancelled:
@@ -508,7 +505,7 @@
 		}
 	}
 	// Danger: errors that follow a customer or a key speak against no worker and no build.
-	if s.follows(t, o.Ending, !s.onTrial(sub.rel)) && o.Ending == Erred {
+	if s.follows(t, o.Ending, 0.15, 0.1*bit(!s.onTrial(sub.rel))) && o.Ending == Erred {
 		return
 	}
 	if !s.onTrial(sub.rel) && sub.rel < s.trial {
@@ -546,10 +543,10 @@
 	s.own.seen += bit(sub.arm == trialArm)
 }
 
-// follows tells whether errors on earlier builds follow the txn's customer or key, and counts on.
+// follows tells whether errors follow the txn's customer, or on earlier builds its key, and counts on.
 // Danger: failing workers hit all customers alike; one stands out only beside the one that fares best.
-func (s *Sentry) follows(t *txn, e Ending, count bool) bool {
-	byCustomer, byKey, least := s.blamed(t, e, bit(count && (e == OK || e == Erred))*0.1)
+func (s *Sentry) follows(t *txn, e Ending, customer, key float64) bool {
+	byCustomer, byKey, least := s.blamed(t, e, customer, key)
 	return t.Key != 0 && byKey > followed || byCustomer > followed/2 && byCustomer > 3*least
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -408,11 +408,13 @@
 func (s *Sentry) Left(now Nanos, id TxnID)                  { s.end(now, id, 0) }
 
 // blamed gives the smoothed shares of errors of t's customer, its key and the customer with the least, after
-// counting one more ending at that weight.
-func (s *Sentry) blamed(t *txn, e Ending, weight float64) (byCustomer, byKey, least float64) {
+// counting one more ending at those weights.
+func (s *Sentry) blamed(t *txn, e Ending, customer, key float64) (byCustomer, byKey, least float64) {
 	c, k := &s.blame[int(t.Customer)%16], &s.blame[16+t.Key%240]
-	*c += weight * (bit(e == Erred) - *c)
-	*k += weight * (bit(e == Erred) - *k)
+	if e == OK || e == Erred {
+		*c += customer * (bit(e == Erred) - *c)
+		*k += key * (bit(e == Erred) - *k)
+	}
 	if others := s.blame[1:min(16, 1+int(s.num("customers.count", 0)))]; len(others) > 1 {
 		return *c, *k, slices.Min(others)
 	}
