Raise the mark of a drag further for many sentries

Each looks on its own, so the mark grows by 0.4 for e times them. Covers: any slowing that one of many misreads. Harm: a build that slows all is called back later at size.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -787,7 +787,7 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged*(1+0.25*s.many) || s.rises < 1 || !onTrial && !fresh {
+	if s.drag < dragged*(1+0.4*s.many) || s.rises < 1 || !onTrial && !fresh {
 		s.draggedAt = s.now
 	}
 }
