--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,10 +40,10 @@
 	stakes, gatherers, peerTrust = 24.0, 6, 3 * Second
 	// Typical times without a word after which a worker is silent, and until a second copy; second copies and
 	// further submissions a txn; the share of faults at which a worker rests, for how long at least, and what
-	// is forgotten from beat to beat; part used of a cold budget; a crossing's price, in waiting.
+	// is forgotten from beat to beat; a crossing's price, in waiting.
 	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
-	coldUsed, crossTimes                           = 0.7, 15.0
+	crossTimes                                     = 15.0
 	// Txns a worker may hold, of few sentries: at the least, at first; share of answers that may take two
 	// thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
 	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
@@ -208,8 +208,8 @@
 		s.exposure[i] = min(deep, s.exposure[i]+dt*max(0, free-deep)/max(window, 0.001))
 	}
 	// Danger: any least amount is multiplied by the number of sentries. So a cold worker's bucket starts at a
-	// random part of one, grows by the even share of what this sentry saw carried, and what it holds lapses.
-	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1) * coldUsed
+	// random part of one, grows by the even share of what this sentry saw carried, which leaves room, and lapses.
+	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1)
 	half := s.span("rules.fall-after", 0) / 2
 	for _, w := range s.order {
 		if r := s.ramp(w); r < 1 {
