--- a/logic/logic.go
+++ b/logic/logic.go
@@ -208,7 +208,7 @@
 		s.exposure[i] = min(deep, s.exposure[i]+dt*max(0, free-deep)/max(window, 0.001))
 	}
 	// Danger: any least amount is multiplied by the number of sentries. So a cold worker's bucket starts at a
-	// random part of one, grows by the even share of what this sentry saw carried, which leaves room, and lapses.
+	// random part of one, grows by the even share of what this sentry saw carried, and lapses.
 	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1)
 	half := s.span("rules.fall-after", 0) / 2
 	for _, w := range s.order {
