Traces: sampled levels, one order over clocks that disagree, less work a txn

A whole trace cost 12% of the throughput at full load, there was no smaller level, and files of several sentries could only be read one by one.

An ordinary txn's taking, first submission and reminder are one record now, records are written without reflection on tags, and the buffer used last is used next. Levels: sampled (txns that ended badly, and one in so many by key, decided at the end) and decisions. Clocks are held against each other by messages, marked repeats and what the platform told all; merge writes one file that never puts an effect before its cause.

--- a/cmd/dunegrade/trace.go
+++ b/cmd/dunegrade/trace.go
@@ -23,6 +23,7 @@
 	Summarise summariseCmd `cmd:"" help:"Count txns by product, and submissions by build and worker."`
 	Anonymise anonymiseCmd `cmd:"" help:"Write files without texts, names or keys that could tell who it was."`
 	Cut       cutCmd       `cmd:"" help:"Write chosen txns to files of their own, one a life."`
+	Merge     mergeCmd     `cmd:"" help:"Put files of several sentries in one order, though their clocks disagree."`
 	Verify    verifyCmd    `cmd:"" help:"Check files: frames, checksums, order, gaps."`
 	Export    exportCmd    `cmd:"" help:"Print records as JSON lines."`
 }
@@ -251,6 +252,58 @@
 	return nil
 }
 
+type mergeCmd struct {
+	Paths []string `arg:"" help:"Files or folders." type:"path"`
+	O     string   `short:"o" help:"The file that is written; none: the clocks are shown only." type:"path"`
+	JSON  bool     `help:"Print JSON."`
+}
+
+func (c *mergeCmd) Run() error {
+	all, err := lives(c.Paths)
+	if err != nil {
+		return err
+	}
+	var clocks []trace.Clock
+	m := &trace.Merged{}
+	if c.O == "" {
+		if clocks, err = trace.Clocks(all, hurt); err != nil {
+			return err
+		}
+	} else {
+		out, err := os.OpenFile(c.O, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+		if err != nil {
+			return err
+		}
+		m, err = trace.Merge(all, out, hurt)
+		if cerr := out.Close(); err == nil {
+			err = cerr
+		}
+		if err != nil {
+			os.Remove(c.O)
+			return err
+		}
+		clocks = m.Clocks
+	}
+	m.Clocks = clocks
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(m)
+	}
+	for i, l := range all {
+		if i == 0 {
+			fmt.Printf("%s, sentry %d, life %016x: the clock that the others are held against\n", l.Edge, l.Sentry, l.ID)
+			continue
+		}
+		fmt.Printf("%s, sentry %d, life %016x: %v\n", l.Edge, l.Sentry, l.ID, clocks[i])
+		if clocks[i].Broken > 0 {
+			fmt.Printf("  %d events contradict the others and were left aside\n", clocks[i].Broken)
+		}
+	}
+	if c.O != "" {
+		fmt.Printf("%s: %d records; %d were held back behind their causes\n", c.O, m.Records, m.Held)
+	}
+	return nil
+}
+
 type verifyCmd struct {
 	Paths []string `arg:"" help:"Files or folders." type:"path"`
 }
--- a/config/edge.go
+++ b/config/edge.go
@@ -60,6 +60,8 @@
 // Trace says what is recorded of the sentries' decisions, and for how long it is kept.
 type Trace struct {
 	Folder       string // empty: nothing is recorded
+	Level        string // whole, sampled or decisions
+	OneIn        uint32 // of txns that ended well, where sampled
 	SegmentBytes int64
 	SegmentAge   time.Duration
 	TotalBytes   int64
@@ -180,6 +182,11 @@
 	}
 	e.Trace = Trace{Folder: t.Text("folder", folder), SegmentBytes: t.Size("segment", 64<<20, 64<<10, 1<<40),
 		SegmentAge: t.Span("age", 10*time.Minute, time.Second, day), TotalBytes: t.Size("total", 1<<30, 1<<20, 1<<50)}
+	e.Trace.Level = t.OneOf("level", "whole", "whole", "sampled", "decisions")
+	e.Trace.OneIn = uint32(t.Int("one-in", 100, 1, 1<<30))
+	if s := t.Sub("one-in"); s != nil && e.Trace.Level != "sampled" {
+		s.Fault("(one-in ...) at level "+e.Trace.Level, "it at level sampled only")
+	}
 	if !t.Flag("on", true) {
 		e.Trace.Folder = ""
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -87,6 +87,9 @@
 		return
 	}
 	c.free = true
+	if c.traced {
+		l.rec.Done(l.now, c.id())
+	}
 	if c.client != nil {
 		c.client.call = nil
 		c.client = nil
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -203,6 +203,12 @@
 		return nil
 	}
 	h := &tracepb.Header{Edge: l.p.plan.Name, Sentry: uint32(l.number), Customers: l.p.plan.Customers, Life: l.life}
+	switch t.Level {
+	case "sampled":
+		h.Level, h.OneIn = trace.LevelSampled, t.OneIn
+	case "decisions":
+		h.Level = trace.LevelDecisions
+	}
 	for i := range l.p.plan.Products {
 		h.Products = append(h.Products, l.p.plan.Products[i].Name)
 	}
--- a/lab/bench.go
+++ b/lab/bench.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"os/exec"
@@ -28,7 +29,7 @@
 
 // Subjects are what the throughput bench measures, each as a process of its own. direct has no process: the load goes
 // to the worker.
-var Subjects = []string{"direct", "gnet", "edge", "edge-traced", "fasthttp", "reverse-proxy"}
+var Subjects = []string{"direct", "gnet", "edge", "edge-traced", "edge-sampled", "fasthttp", "reverse-proxy"}
 
 // ServeSubject runs a forwarder, or the bench's worker, until SIGTERM.
 func ServeSubject(kind, listen, worker string, size int) error {
@@ -199,6 +200,9 @@
 	PerSecond       float64
 	P50, P99        float64 // microseconds, of the open loop
 	AddedP50, Added float64 // the same less the direct way's, round by round
+	OverEdge        float64 // txns a core-second over the edge's of the same round: the median
+	Least, Most     float64 // of the rounds
+	P99OverEdge     float64
 }
 
 // Bench measures all subjects in turn, round by round, so that a noisy machine hits all alike.
@@ -207,7 +211,7 @@
 		subject     string
 		loops, size int
 	}
-	type sample struct{ perCore, perSecond, p50, p99, added50, added float64 }
+	type sample struct{ perCore, perSecond, p50, p99, added50, added, overEdge, p99OverEdge float64 }
 	got := map[key][]sample{}
 	var keys []key
 	for round := 0; round < plan.Rounds; round++ {
@@ -217,7 +221,7 @@
 				return nil, err
 			}
 			for _, loops := range plan.Loops {
-				var direct sample
+				var direct, edge sample
 				for _, subject := range plan.Subjects {
 					if ctx.Err() != nil {
 						stop()
@@ -238,7 +242,13 @@
 					if subject == "direct" {
 						direct = s
 					}
+					if subject == "edge" {
+						edge = s
+					}
 					s.added50, s.added = s.p50-direct.p50, s.p99-direct.p99
+					if edge.perCore > 0 {
+						s.overEdge, s.p99OverEdge = s.perCore/edge.perCore, s.p99/edge.p99
+					}
 					got[k] = append(got[k], s)
 					fmt.Fprintf(say, "round %d: %-13s %d loops, %5d bytes: %7.0f a core-second, %7.0f a second, p50 %5.0f us, p99 %5.0f us\n", round+1,
 						subject, loops, size, s.perCore, s.perSecond, s.p50, s.p99)
@@ -257,10 +267,15 @@
 			sort.Float64s(v)
 			return v[len(v)/2]
 		}
+		least, most := math.Inf(1), 0.0
+		for _, s := range got[k] {
+			least, most = min(least, s.overEdge), max(most, s.overEdge)
+		}
 		rows = append(rows, BenchRow{k.subject, k.loops, k.size, mid(func(s sample) float64 { return s.perCore }),
 			mid(func(s sample) float64 { return s.perSecond }), mid(func(s sample) float64 { return s.p50 }),
 			mid(func(s sample) float64 { return s.p99 }), mid(func(s sample) float64 { return s.added50 }),
-			mid(func(s sample) float64 { return s.added })})
+			mid(func(s sample) float64 { return s.added }), mid(func(s sample) float64 { return s.overEdge }), least, most,
+			mid(func(s sample) float64 { return s.p99OverEdge })})
 	}
 	return rows, nil
 }
@@ -307,7 +322,7 @@
 		}
 		args := []string{"lab", "subject", subject, "--listen", address, "--worker", worker}
 		if strings.HasPrefix(subject, "edge") {
-			path, err := plan.edgeFiles(address, worker, loops, subject == "edge-traced")
+			path, err := plan.edgeFiles(address, worker, loops, strings.TrimPrefix(subject, "edge"))
 			if err != nil {
 				return 0, 0, nil, err
 			}
@@ -336,7 +351,7 @@
 	return
 }
 
-func (plan BenchPlan) edgeFiles(listen, worker string, loops int, traced bool) (string, error) {
+func (plan BenchPlan) edgeFiles(listen, worker string, loops int, traced string) (string, error) {
 	if err := os.MkdirAll(plan.Out, 0o755); err != nil {
 		return "", err
 	}
@@ -350,8 +365,9 @@
 		return "", err
 	}
 	record := "(trace (on false))"
-	if traced {
-		record = fmt.Sprintf("(trace (folder %q) (segment 64MiB) (total 256MiB))", filepath.Join(plan.Out, "trace"))
+	level := map[string]string{"-traced": "(level whole)", "-sampled": "(level sampled) (one-in 100)", "-decisions": "(level decisions)"}[traced]
+	if level != "" {
+		record = fmt.Sprintf("(trace (folder %q) (segment 64MiB) (total 256MiB) %s)", filepath.Join(plan.Out, "trace"+traced), level)
 	}
 	text = fmt.Sprintf(`(edge %s (name "bench") (listen %q) (admin "127.0.0.1:18089") (loops %d) (log warn) (source (file %q)) (workers (connections 4096))
   (product "read" (sla 1s) (expiry 3s) (effect inquiry-like)) (route (product "read"))
@@ -462,16 +478,20 @@
 		}
 		return nil
 	}
-	fmt.Fprintln(w, "| subject | loops | answer bytes | txns a core-second | over ReverseProxy | over the bare forwarder | p50 us | p99 us | added p99 us |")
-	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(w, "| subject | loops | answer bytes | txns a core-second | over ReverseProxy | over the bare forwarder | over the edge, by round | p50 us | p99 us | added p99 us | p99 over the edge |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, r := range rows {
+		over := "-"
+		if r.OverEdge > 0 {
+			over = fmt.Sprintf("%.3f (%.3f to %.3f)", r.OverEdge, r.Least, r.Most)
+		}
 		ratio := func(to *BenchRow) string {
 			if to == nil || to.PerCoreSecond == 0 || r.PerCoreSecond == 0 {
 				return "-"
 			}
 			return fmt.Sprintf("%.2f", r.PerCoreSecond/to.PerCoreSecond)
 		}
-		fmt.Fprintf(w, "| %s | %d | %d | %.0f | %s | %s | %.0f | %.0f | %.0f |\n", r.Subject, r.Loops, r.Size, r.PerCoreSecond, ratio(find("reverse-proxy", r)),
-			ratio(find("gnet", r)), r.P50, r.P99, r.Added)
+		fmt.Fprintf(w, "| %s | %d | %d | %.0f | %s | %s | %s | %.0f | %.0f | %.0f | %.2f |\n", r.Subject, r.Loops, r.Size, r.PerCoreSecond,
+			ratio(find("reverse-proxy", r)), ratio(find("gnet", r)), over, r.P50, r.P99, r.Added, r.P99OverEdge)
 	}
 }
--- a/trace/anonymise.go
+++ b/trace/anonymise.go
@@ -146,7 +146,7 @@
 			out.TraceID = [2]uint64{binary.LittleEndian.Uint64(sum) | 1, binary.LittleEndian.Uint64(sum[8:])}
 		}
 		switch r.Kind {
-		case tracepb.Kind_WORKER, tracepb.Kind_TELL, tracepb.Kind_TOLD, tracepb.Kind_LOG:
+		case tracepb.Kind_WORKER, tracepb.Kind_BACK, tracepb.Kind_TELL, tracepb.Kind_TOLD, tracepb.Kind_LOG:
 			return true // workers are named anew; messages and log lines can hold anything
 		case tracepb.Kind_LIST:
 			if out.Body, fault = s.list(r.Body); fault != nil {
--- a/trace/cut.go
+++ b/trace/cut.go
@@ -9,8 +9,6 @@
 	"dunegrade/trace/tracepb"
 )
 
-// LevelPart is the level of a file that holds a part of a life's txns. It cannot be replayed.
-const LevelPart = 1
 
 // Filter chooses txns. What is empty chooses all; what is given must all fit.
 type Filter struct {
@@ -51,7 +49,7 @@
 			open[r.Txn] = fit[r.Serial]
 		}
 		switch {
-		case r.Kind == tracepb.Kind_WORKER: // named anew where it is needed
+		case r.Kind == tracepb.Kind_WORKER, r.Kind == tracepb.Kind_BACK: // named, and set back, anew where it is needed
 		case r.Txn != 0 && open[r.Txn],
 			r.Txn == 0 && r.Kind != tracepb.Kind_TIMER && r.Kind != tracepb.Kind_REMIND:
 			fault = p.add(*r, names[r.Worker])
@@ -165,6 +163,11 @@
 	if len(p.buf) == 0 {
 		p.first, p.last = r.At, r.At
 	}
+	if r.At < p.last {
+		back := Record{Kind: tracepb.Kind_BACK, At: p.last, Span: uint64(p.last - r.At)}
+		p.buf = back.Append(p.buf, p.last)
+		p.last = r.At
+	}
 	if r.Worker = 0; worker != "" {
 		n, known := p.names[worker]
 		if !known {
--- a/trace/file.go
+++ b/trace/file.go
@@ -78,7 +78,8 @@
 }
 
 func newEncoder() (*encoder, error) {
-	z, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	z, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false),
+		zstd.WithWindowSize(blockSize))
 	if err != nil {
 		return nil, err
 	}
@@ -90,16 +91,21 @@
 	info := &tracepb.Block{First: first, Last: first, Size: uint32(len(records))}
 	e.keys = e.keys[:0]
 	var r Record
-	at := first
+	at, earliest, serial := first, first, uint64(0)
 	for rest := records; len(rest) > 0; {
 		var err error
 		if rest, err = r.Decode(rest, at); err != nil {
 			return nil, nil, err
 		}
-		at = r.At
+		at = r.next()
+		earliest = min(earliest, at)
 		info.Records++
 		switch r.Kind {
 		case tracepb.Kind_TAKE:
+			if r.Serial == 0 {
+				r.Serial = serial + 1
+			}
+			serial = r.Serial
 			// They come nearly in order: a body that is long in coming makes its txn late.
 			if info.FirstSerial == 0 || r.Serial < info.FirstSerial {
 				info.FirstSerial = r.Serial
@@ -115,7 +121,10 @@
 			info.Workers++
 		}
 	}
-	info.Last = at
+	info.Last = max(at, first)
+	if earliest < first {
+		info.Earliest = earliest
+	}
 	return e.pack(info, e.keys, records)
 }
 
@@ -340,14 +349,14 @@
 	if err != nil || len(f.records) != int(info.Size) {
 		return fmt.Errorf("block %d at %d: %w: it does not unpack", i, e.Offset, ErrDamaged)
 	}
-	var r Record
+	var r, x Record
 	names := make([]string, 1, info.Workers%(1<<16)+1)
-	at := info.First
+	at, serial := info.First, uint64(0)
 	for rest := f.records; len(rest) > 0; {
 		if rest, err = r.Decode(rest, at); err != nil {
 			return fmt.Errorf("block %d at %d: %w", i, e.Offset, err)
 		}
-		at = r.At
+		at = r.next()
 		if r.Kind == tracepb.Kind_WORKER {
 			if int(r.Worker) != len(names) {
 				return fmt.Errorf("block %d at %d: %w: worker %d after %d", i, e.Offset, ErrDamaged, r.Worker, len(names)-1)
@@ -357,13 +366,45 @@
 		if int(r.Worker) >= len(names) {
 			return fmt.Errorf("block %d at %d: %w: worker %d is not named", i, e.Offset, ErrDamaged, r.Worker)
 		}
+		if r.Kind != tracepb.Kind_TAKE {
+			if !do(&r, names) {
+				return nil
+			}
+			continue
+		}
+		if r.Serial == 0 {
+			r.Serial = serial + 1
+		}
+		serial = r.Serial
+		worker, token, span := r.Worker, r.Token, r.Span
+		r.Worker, r.Token, r.Span = 0, 0, 0
 		if !do(&r, names) {
 			return nil
 		}
+		if worker != 0 {
+			x = Record{Kind: tracepb.Kind_SUBMIT, At: r.At, Txn: r.Txn, Worker: worker, Origin: r.Origin}
+			if !do(&x, names) {
+				return nil
+			}
+		}
+		if token != 0 {
+			x = Record{Kind: tracepb.Kind_REMIND, At: r.At, Token: token, Span: span, Origin: r.Origin}
+			if !do(&x, names) {
+				return nil
+			}
+		}
 	}
 	return nil
 }
 
+// next is the time that the record behind this one counts from.
+func (r *Record) next() int64 {
+	if r.Kind == tracepb.Kind_BACK {
+		return r.At - int64(r.Span)
+	}
+	return r.At
+}
+
 // Has tells whether block i may hold a key or a trace id (its halves, one over the other).
 func (f *File) Has(i int, key uint64) bool {
 	b := f.Blocks[i].Block
--- a/trace/follow.go
+++ b/trace/follow.go
@@ -164,6 +164,9 @@
 				continue
 			}
 			err := f.Read(i, func(r *Record, names []string) bool {
+				if l.origin != 0 && r.Origin != l.origin {
+					return true
+				}
 				if r.Kind == tracepb.Kind_TAKE && q.fits(r) {
 					s := &Story{Edge: l.Edge, Sentry: l.Sentry, Serial: r.Serial, Key: r.Key, TraceID: r.TraceID, Taken: r.At, Expiry: r.At + int64(r.Patience),
 						Wall: time.Unix(0, l.Headers[k].Wall+r.At-l.Headers[k].Start).UTC(), id: r.Txn, Builds: builds, End: "cut"}
--- a/trace/record.go
+++ b/trace/record.go
@@ -41,21 +41,44 @@
 	Loaded   bool
 	Body     []byte
 	Text     string
+	Origin   uint32 // in a merged file: whose record it is, by the header's list, from 1
 }
 
 // ErrRecord says that bytes are no record.
 var ErrRecord = errors.New("trace: malformed record")
 
-func putUint(b []byte, field protowire.Number, v uint64) []byte {
+// The wire form is written by hand: the loop must not allocate, and a record costs it some tens of nanoseconds. Tests
+// hold it against the generated code.
+
+// tag is a field's number and wire type.
+type tag uint64
+
+func varint(field protowire.Number) tag { return tag(protowire.EncodeTag(field, protowire.VarintType)) }
+
+func putUint(b []byte, t tag, v uint64) []byte {
 	if v == 0 {
 		return b
 	}
-	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
+	if t < 0x80 {
+		b = append(b, byte(t))
+	} else { // no field has a number over 2047
+		b = append(b, byte(t)|0x80, byte(t>>7))
+	}
+	for v >= 0x80 {
+		b = append(b, byte(v)|0x80)
+		v >>= 7
+	}
+	return append(b, byte(v))
 }
 
 // putSpan writes a span in microseconds, and what that leaves out: most of them are whole.
-func putSpan(b []byte, field protowire.Number, v uint64) []byte {
-	return putUint(putUint(b, field, v/1000), field+30, v%1000)
+func putSpan(b []byte, t tag, v uint64) []byte {
+	micros := v / 1000
+	b = putUint(b, t, micros)
+	if left := v - micros*1000; left != 0 {
+		b = putUint(b, t+30<<3, left)
+	}
+	return b
 }
 
 func putFixed(b []byte, field protowire.Number, v uint64) []byte {
@@ -65,43 +88,54 @@
 	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), v)
 }
 
+// Fields of records.
+var (
+	tagKind, tagAfter, tagTxn, tagNumber, tagWorker = varint(1), varint(2), varint(3), varint(4), varint(5)
+	tagProduct, tagCustomer, tagCost, tagRepeat     = varint(6), varint(7), varint(9), varint(10)
+	tagPatience, tagEnding, tagElapsed, tagOver     = varint(11), varint(12), varint(13), varint(14)
+	tagLoaded, tagToken, tagSpan, tagSerial         = varint(18), varint(19), varint(20), varint(23)
+	tagOrigin                                       = varint(29)
+)
+
 // Append writes a record behind its length, with its time as the difference to the one before. It allocates only
 // where b has no room.
 func (r *Record) Append(b []byte, before int64) []byte {
 	at := len(b)
 	b = append(b, 0, 0) // room for the length of nearly every record
-	b = putUint(b, 1, uint64(r.Kind))
-	b = putSpan(b, 2, uint64(r.At-before))
-	b = putUint(b, 3, r.Txn)
-	b = putUint(b, 4, uint64(r.Number))
-	b = putUint(b, 5, uint64(r.Worker))
-	b = putUint(b, 6, uint64(r.Product))
-	b = putUint(b, 7, uint64(r.Customer))
+	b = putUint(b, tagKind, uint64(r.Kind))
+	b = putSpan(b, tagAfter, uint64(r.At-before))
+	b = putUint(b, tagTxn, r.Txn)
+	b = putUint(b, tagNumber, uint64(r.Number))
+	b = putUint(b, tagWorker, uint64(r.Worker))
+	b = putUint(b, tagProduct, uint64(r.Product))
+	b = putUint(b, tagCustomer, uint64(r.Customer))
 	b = putFixed(b, 8, r.Key)
-	b = putSpan(b, 9, r.Cost)
-	b = putUint(b, 10, flag(r.Repeat))
-	b = putSpan(b, 11, r.Patience)
-	b = putUint(b, 12, uint64(r.Ending))
-	b = putSpan(b, 13, r.Elapsed)
-	b = putUint(b, 14, flag(r.Over))
+	b = putSpan(b, tagCost, r.Cost)
+	b = putUint(b, tagRepeat, flag(r.Repeat))
+	b = putSpan(b, tagPatience, r.Patience)
+	b = putUint(b, tagEnding, uint64(r.Ending))
+	b = putSpan(b, tagElapsed, r.Elapsed)
+	b = putUint(b, tagOver, flag(r.Over))
 	if r.Loaded {
-		b = putLoad(b, 15, 26, r.Util)
-		b = putLoad(b, 16, 27, r.Queue)
-		b = putLoad(b, 17, 28, r.Busy)
-		b = putUint(b, 18, 1)
+		b = putLoads(b, r.Util, r.Queue, r.Busy)
 	}
-	b = putUint(b, 19, r.Token)
-	b = putSpan(b, 20, r.Span)
+	b = putUint(b, tagToken, r.Token)
+	b = putSpan(b, tagSpan, r.Span)
 	if len(r.Body) > 0 {
 		b = protowire.AppendBytes(protowire.AppendTag(b, 21, protowire.BytesType), r.Body)
 	}
 	if r.Text != "" {
 		b = protowire.AppendString(protowire.AppendTag(b, 22, protowire.BytesType), r.Text)
 	}
-	b = putUint(b, 23, r.Serial)
+	b = putUint(b, tagSerial, r.Serial)
 	b = putFixed(b, 24, r.TraceID[0])
 	b = putFixed(b, 25, r.TraceID[1])
-	// The length is a varint of two bytes, padded; a longer record moves up.
+	b = putUint(b, tagOrigin, uint64(r.Origin))
+	return length(b, at)
+}
+
+// length fills in a record's length, a varint of two bytes, padded; a longer record moves up.
+func length(b []byte, at int) []byte {
 	size := len(b) - at - 2
 	if size < 1<<14 {
 		b[at], b[at+1] = byte(size)|0x80, byte(size>>7)
@@ -115,11 +149,18 @@
 	return b
 }
 
+func putLoads(b []byte, util, queue, busy float64) []byte {
+	b = putLoad(b, 15, 26, util)
+	b = putLoad(b, 16, 27, queue)
+	b = putLoad(b, 17, 28, busy)
+	return putUint(b, tagLoaded, 1)
+}
+
 // putLoad writes a figure of a load report in thousandths where that is exactly what it is, as figures are that come
 // in text with three digits.
 func putLoad(b []byte, whole, thousandths protowire.Number, v float64) []byte {
 	if n := math.Round(v * 1000); math.Abs(n) < 1e15 && n/1000 == v && !(n == 0 && math.Signbit(v)) {
-		return putUint(b, thousandths, protowire.EncodeZigZag(int64(n)))
+		return putUint(b, varint(thousandths), protowire.EncodeZigZag(int64(n)))
 	}
 	return putFixed(b, whole, math.Float64bits(v))
 }
@@ -198,6 +239,8 @@
 				r.Span += v
 			case 23:
 				r.Serial = v
+			case 29:
+				r.Origin = uint32(v)
 			case 26:
 				r.Util = float64(protowire.DecodeZigZag(v)) / 1000
 			case 27:
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	blockSize = 256 << 10 // records of a block, before they are packed
+	blockSize = 128 << 10 // records of a block, before they are packed
 	buffers   = 16        // of a sentry: what is written may lag by so many blocks
 	reserve   = 4         // of them are for what has begun: new txns are not recorded when no more are free
 	flushAge  = int64(time.Second)
@@ -29,9 +29,13 @@
 type Recorder struct {
 	cur     *block // nil: no room
 	last    int64
+	serial  uint64 // of the TAKE before in this block
 	workers map[logic.WorkerID]*named
 	number  uint32 // of the block
 	rec     Record
+	begun   begun
+	hold    *holder  // nil where all is written at once
+	spare   []*block // the loop's own; the last one used is still in the cache
 	free    chan *block
 	full    chan *block
 	done    chan struct{}
@@ -48,6 +52,15 @@
 
 type named struct{ number, block uint32 }
 
+// begun is a TAKE that is not written yet: what the module nearly always does at once goes into the same record.
+type begun struct {
+	open, sent bool
+	txn        logic.Txn
+	serial     uint64
+	trace      [2]uint64
+	worker     uint32
+}
+
 // block is a buffer of records with what is known of them.
 type block struct {
 	records []byte
@@ -71,8 +84,11 @@
 	}
 	k := &Recorder{workers: map[logic.WorkerID]*named{}, free: make(chan *block, buffers), full: make(chan *block, buffers),
 		done: make(chan struct{}), log: log, store: &store{folder: folder, keep: keep, header: h, enc: enc}, number: 1}
+	if h.Level != LevelWhole {
+		k.hold = newHolder(h.Level, h.OneIn)
+	}
 	for i := 0; i < buffers; i++ {
-		k.free <- &block{records: make([]byte, 0, blockSize+blockSize/4), keys: make([]uint64, 0, 4096)}
+		k.spare = append(k.spare, &block{records: make([]byte, 0, blockSize+blockSize/4), keys: make([]uint64, 0, 4096)})
 	}
 	go k.write()
 	return k, nil
@@ -120,6 +136,14 @@
 
 // Close ends the recording: call it from the loop, or when the loop has ended. It waits for the writer.
 func (k *Recorder) Close(now logic.Nanos) {
+	if k.hold != nil {
+		k.hold.flush(k, now)
+	}
+	if !k.ready(now) {
+		close(k.full)
+		<-k.done
+		return
+	}
 	k.rec = Record{Kind: tracepb.Kind_END, At: int64(now)}
 	k.put()
 	k.ship()
@@ -127,30 +151,57 @@
 	<-k.done
 }
 
+// room gives how many buffers are free.
+func (k *Recorder) room() int { return len(k.spare) + len(k.free) }
+
 // ready makes room for a record and tells whether there is any. What was left out before is told first.
 func (k *Recorder) ready(now logic.Nanos) bool {
+	if k.begun.open {
+		k.settle()
+	}
 	if k.cur != nil && len(k.cur.records) >= blockSize {
 		k.ship()
 	}
-	if k.cur == nil {
+	if k.cur == nil && !k.next(now) {
+		return false
+	}
+	if k.skipped > 0 || k.torn > 0 || k.lostBlock.Load() > 0 {
+		k.gap(now)
+	}
+	return true
+}
+
+// next takes a buffer for the next block, the one that was used last.
+func (k *Recorder) next(now logic.Nanos) bool {
+	for more := true; more; {
 		select {
-		case k.cur = <-k.free:
-			k.number++
-			k.last = int64(now)
-			b := k.cur
-			b.records, b.keys, b.taken = b.records[:0], b.keys[:0], 0
-			b.info.Reset()
-			b.info.First = int64(now)
+		case b := <-k.free:
+			k.spare = append(k.spare, b)
 		default:
-			if k.since == 0 {
-				k.since = int64(now)
-			}
-			k.torn++
-			return false
+			more = false
+		}
+	}
+	if len(k.spare) == 0 {
+		if k.since == 0 {
+			k.since = int64(now)
 		}
+		k.torn++
+		return false
 	}
+	b := k.spare[len(k.spare)-1]
+	k.spare = k.spare[:len(k.spare)-1]
+	k.cur, k.last, k.serial = b, int64(now), 0
+	k.number++
+	b.records, b.keys, b.taken = b.records[:0], b.keys[:0], 0
+	b.info.Reset()
+	b.info.First = int64(now)
+	return true
+}
+
+// gap tells what is missing, once there is room for txns again.
+func (k *Recorder) gap(now logic.Nanos) {
 	lost := k.lostBlock.Swap(0)
-	if lost > 0 || (k.skipped > 0 || k.torn > 0) && len(k.free) >= reserve {
+	if lost > 0 || (k.skipped > 0 || k.torn > 0) && k.room() >= reserve {
 		since := k.since
 		if at := k.lostSince.Swap(0); at != 0 && (since == 0 || at < since) {
 			since = at
@@ -159,7 +210,6 @@
 		k.put()
 		k.skipped, k.torn, k.since = 0, 0, 0
 	}
-	return true
 }
 
 func (k *Recorder) put() {
@@ -171,8 +221,24 @@
 	k.last = k.rec.At
 }
 
+// open begins a record of a frequent kind at the buffer's end, and close ends it.
+func (k *Recorder) open(kind Kind, now int64) (b []byte, at int) {
+	at = len(k.cur.records)
+	b = append(k.cur.records, 0, 0, byte(tagKind), byte(kind))
+	return putSpan(b, tagAfter, uint64(now-k.last)), at
+}
+
+func (k *Recorder) close(b []byte, at int, now int64) {
+	k.cur.records = length(b, at)
+	k.cur.info.Records++
+	k.last = now
+}
+
 // ship hands the present block to the writer. There is room: there are no more buffers than that.
 func (k *Recorder) ship() {
+	if k.begun.open {
+		k.settle()
+	}
 	if k.cur == nil || len(k.cur.records) == 0 {
 		return
 	}
@@ -183,6 +249,9 @@
 
 // Flush ships a block that has waited for a second, so that a crash costs no more. Call it on each beat.
 func (k *Recorder) Flush(now logic.Nanos) {
+	if k.hold != nil {
+		k.hold.tell(k, now)
+	}
 	if k.cur != nil && len(k.cur.records) > 0 && int64(now)-k.cur.info.First > flushAge {
 		k.ship()
 	}
@@ -271,7 +340,7 @@
 // Take records a txn by its serial, and tells whether it did: the records that follow of one that was left out must be
 // left out too. high and low are the trace id that the client sent; zeros where it sent none.
 func (k *Recorder) Take(now logic.Nanos, t *logic.Txn, serial, high, low uint64) bool {
-	if len(k.free) < reserve || !k.ready(now) {
+	if len(k.spare) < reserve && k.room() < reserve || !k.ready(now) {
 		if k.skipped == 0 && k.since == 0 {
 			k.since = int64(now)
 		}
@@ -279,48 +348,120 @@
 		k.Skipped.Add(1)
 		return false
 	}
-	k.rec = Record{Kind: tracepb.Kind_TAKE, At: int64(now), Txn: uint64(t.ID), Serial: serial, Product: uint32(t.Product),
-		Customer: uint32(t.Customer), Key: uint64(t.Key), Cost: uint64(t.Cost), Repeat: t.Repeat, Patience: uint64(t.Expiry - now),
-		TraceID: [2]uint64{high, low}}
-	k.put()
-	b := k.cur
+	if k.hold != nil {
+		k.hold.take(now, t, serial, high, low)
+		return true
+	}
+	k.begun = begun{open: true, txn: *t, serial: serial, trace: [2]uint64{high, low}}
+	k.begun.txn.Expiry -= now
+	k.rec.At = int64(now)
+	return true
+}
+
+// settle writes the TAKE that was begun.
+func (k *Recorder) settle() { k.finish(0, 0) }
+
+// finish writes the TAKE that was begun, with the REMIND that came of it, if any.
+func (k *Recorder) finish(token, span uint64) {
+	t := &k.begun
+	t.open = false
+	now := k.rec.At
+	b, at := k.open(tracepb.Kind_TAKE, now)
+	b = putUint(b, tagTxn, uint64(t.txn.ID))
+	b = putUint(b, tagWorker, uint64(t.worker))
+	b = putUint(b, tagProduct, uint64(t.txn.Product))
+	b = putUint(b, tagCustomer, uint64(t.txn.Customer))
+	b = putFixed(b, 8, uint64(t.txn.Key))
+	b = putSpan(b, tagCost, uint64(t.txn.Cost))
+	b = putUint(b, tagRepeat, flag(t.txn.Repeat))
+	b = putSpan(b, tagPatience, uint64(t.txn.Expiry))
+	b = putUint(b, tagToken, token)
+	b = putSpan(b, tagSpan, span)
+	if t.serial != k.serial+1 || k.serial == 0 {
+		b = putUint(b, tagSerial, t.serial)
+	}
+	if t.trace != [2]uint64{} {
+		b = putFixed(b, 24, t.trace[0])
+		b = putFixed(b, 25, t.trace[1])
+	}
+	k.close(b, at, now)
+	k.serial = t.serial
+	k.cur.noteTake(t.serial, uint64(t.txn.Key), t.trace)
+}
+
+// noteTake adds a txn to what the block is known to hold.
+func (b *block) noteTake(serial, key uint64, id [2]uint64) {
 	b.taken++
 	if b.info.FirstSerial == 0 || serial < b.info.FirstSerial {
 		b.info.FirstSerial = serial
 	}
 	b.info.LastSerial = max(b.info.LastSerial, serial)
-	if t.Key != 0 {
-		b.keys = append(b.keys, uint64(t.Key))
+	if key != 0 {
+		b.keys = append(b.keys, key)
 	}
-	if high|low != 0 {
-		b.keys = append(b.keys, high^low)
+	if id != [2]uint64{} {
+		b.keys = append(b.keys, id[0]^id[1])
 	}
-	return true
 }
 
 // Outcome records the end of a submission, with the status that the client was sent, 0 if this did not answer it.
 func (k *Recorder) Outcome(now logic.Nanos, o *logic.Outcome, status int) {
+	if k.hold != nil {
+		k.hold.outcome(now, o, status)
+		return
+	}
 	if !k.ready(now) {
 		return
 	}
-	k.rec = Record{Kind: tracepb.Kind_OUTCOME, At: int64(now), Txn: uint64(o.Txn), Number: uint32(o.Number), Ending: uint32(o.Ending),
-		Elapsed: uint64(o.Elapsed), Over: o.Over, Token: uint64(status)}
+	b, at := k.open(tracepb.Kind_OUTCOME, int64(now))
+	b = putUint(b, tagTxn, uint64(o.Txn))
+	b = putUint(b, tagNumber, uint64(o.Number))
+	b = putUint(b, tagEnding, uint64(o.Ending))
+	b = putSpan(b, tagElapsed, uint64(o.Elapsed))
+	if o.Over {
+		b = append(b, byte(tagOver), 1)
+	}
 	if o.Load != nil {
-		k.rec.Loaded, k.rec.Util, k.rec.Queue, k.rec.Busy = true, o.Load.Util, o.Load.Queue, o.Load.Busy
+		b = putLoads(b, o.Load.Util, o.Load.Queue, o.Load.Busy)
 	}
-	k.put()
+	k.close(putUint(b, tagToken, uint64(status)), at, int64(now))
 }
 
 // Event records one of the kinds that are no more than numbers.
 func (k *Recorder) Event(now logic.Nanos, kind Kind, txn logic.TxnID, number int, token, span uint64) {
-	if k.ready(now) {
-		k.rec = Record{Kind: kind, At: int64(now), Txn: uint64(txn), Number: uint32(number), Token: token, Span: span}
-		k.put()
+	if k.begun.open && kind == tracepb.Kind_REMIND && token != 0 && k.begun.sent && int64(now) == k.rec.At {
+		k.begun.sent = false
+		k.finish(token, span)
+		return
 	}
+	if k.hold != nil && !k.hold.event(now, kind, txn, number, token, span) || !k.ready(now) {
+		return
+	}
+	b, at := k.open(kind, int64(now))
+	b = putUint(b, tagTxn, uint64(txn))
+	b = putUint(b, tagNumber, uint64(number))
+	b = putUint(b, tagToken, token)
+	k.close(putSpan(b, tagSpan, span), at, int64(now))
 }
 
 // Submit records a submission.
 func (k *Recorder) Submit(now logic.Nanos, t logic.TxnID, w logic.WorkerID, timeout logic.Nanos) {
+	if k.hold != nil {
+		k.hold.submit(now, t, w, timeout)
+		return
+	}
+	if k.begun.open && !k.begun.sent && t == k.begun.txn.ID && timeout == 0 && int64(now) == k.rec.At && k.cur != nil {
+		k.begun.sent = true
+		n := k.workers[w]
+		if n == nil || n.block != k.number {
+			k.begun.open = false // naming writes a record, and must not write this one
+			k.worker(now, w)
+			k.begun.open = true
+			n = k.workers[w]
+		}
+		k.begun.worker = n.number
+		return
+	}
 	k.at(now, tracepb.Kind_SUBMIT, t, w, timeout)
 }
 
@@ -335,6 +476,13 @@
 	}
 }
 
+// Done tells that nothing more comes of a txn. Where txns are sampled it is decided now whether it is kept.
+func (k *Recorder) Done(now logic.Nanos, t logic.TxnID) {
+	if k.hold != nil {
+		k.hold.done(k, now, t)
+	}
+}
+
 // Log records a line of the module's log.
 func (k *Recorder) Log(now logic.Nanos, text string) {
 	if k.ready(now) {
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -21,6 +21,17 @@
 	Sentry  uint32
 	Paths   []string
 	Headers []*tracepb.Header
+	Unsure  int64 // of a merged file: its times may be off by so much against the others'; negative: by any
+	origin  uint32
+	level   uint32 // of the file that a merged one was made of
+}
+
+// Level is how much of the life is there.
+func (l *Life) Level() uint32 {
+	if l.origin != 0 {
+		return l.level
+	}
+	return l.Headers[0].Level
 }
 
 // Lives groups the segments among some files and folders by the sentry's life. Files that are no traces are named
@@ -55,6 +66,10 @@
 		}
 		h := f.Header
 		done()
+		if len(h.Origins) > 0 {
+			out = append(out, origins(path, h)...)
+			continue
+		}
 		l := byID[h.Life]
 		if l == nil {
 			l = &Life{ID: h.Life, Edge: h.Edge, Sentry: h.Sentry}
@@ -110,7 +125,7 @@
 			}
 			hurt(path, d)
 		}
-		more, err := eachOf(path, do, hurt)
+		more, err := l.eachOf(path, do, hurt)
 		if err != nil || !more {
 			return err
 		}
@@ -118,7 +133,7 @@
 	return nil
 }
 
-func eachOf(path string, do func(r *Record, names []string) bool, hurt func(path string, d Damage)) (more bool, err error) {
+func (l *Life) eachOf(path string, do func(r *Record, names []string) bool, hurt func(path string, d Damage)) (more bool, err error) {
 	f, done, err := OpenPath(path)
 	if err != nil {
 		return false, err
@@ -136,7 +151,12 @@
 	}
 	more = true
 	for i := range f.Blocks {
-		err := f.Read(i, func(r *Record, names []string) bool { more = do(r, names); return more })
+		err := f.Read(i, func(r *Record, names []string) bool {
+			if l.origin == 0 || r.Origin == l.origin || r.Kind == tracepb.Kind_WORKER || r.Kind == tracepb.Kind_BACK {
+				more = do(r, names)
+			}
+			return more
+		})
 		if err != nil {
 			if hurt == nil {
 				return false, fmt.Errorf("%s: %w", path, err)
@@ -264,7 +284,7 @@
 			return true
 		}
 		switch r.Kind {
-		case tracepb.Kind_WORKER, tracepb.Kind_END:
+		case tracepb.Kind_WORKER, tracepb.Kind_END, tracepb.Kind_LEFT_OUT:
 			return true
 		case tracepb.Kind_GAP:
 			fault = ErrGap
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -145,7 +145,7 @@
 			}
 		}
 		rec.Flush(h.now)
-		for pace && len(rec.free) <= reserve {
+		for pace && rec.room() <= reserve {
 			runtime.Gosched()
 		}
 		x := logic.Txn{ID: logic.TxnID(i), Product: logic.ProductID(rng.Intn(2)), Key: logic.KeyID(rng.Intn(50) + 1), Cost: 2e7, Expiry: h.now + logic.Second}
@@ -192,7 +192,7 @@
 func TestRecordsAreTheSchema(t *testing.T) {
 	r := Record{Kind: tracepb.Kind_OUTCOME, At: 1500, Txn: 1 << 40, Serial: 9, Number: 2, Worker: 3, Product: 1, Customer: 4, Ending: 5, Key: 77,
 		TraceID: [2]uint64{1, 2}, Cost: 6, Patience: 7, Elapsed: 8, Token: 1 << 60, Span: 10, Util: 0.5, Queue: 1.0 / 3, Busy: -1, Repeat: true,
-		Over: true, Loaded: true, Body: []byte("body"), Text: "text"}
+		Over: true, Loaded: true, Body: []byte("body"), Text: "text", Origin: 3}
 	var back Record
 	rest, err := back.Decode(append(r.Append(nil, 1000), "rest"...), 1000)
 	if err != nil || string(rest) != "rest" || !reflect.DeepEqual(r, back) {
