Traces: rules from traces, stories over sentries, charts, OpenTelemetry, two sides compared

Clients of the lab send a traceparent with what has an effect. Blocks begin with the newest news, so that a block tells which build was on trial.

--- a/cmd/dunegrade/trace.go
+++ b/cmd/dunegrade/trace.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"dunegrade/config"
@@ -44,9 +45,25 @@
 type followCmd struct {
 	Txn   string   `arg:"" help:"The txn's name, key, traceparent or trace id."`
 	Paths []string `arg:"" help:"Files or folders." type:"path"`
-	JSON  bool     `help:"Print JSON lines."`
+	JSON  bool     `help:"Print JSON lines, one a txn."`
+	SVG   string   `name:"svg" help:"Write a sequence chart to this file." type:"path"`
+	Why   bool     `help:"Replay up to the last decision on the txn, and list how each worker stood then."`
 }
 
+func (*followCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace follow s1-4711 state/trace
+  dunegrade trace follow order-2291 edge-0/trace edge-1/trace --svg order.svg
+  dunegrade trace follow 00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01 state/trace --why
+
+Txns of one key or trace id are told in one order, over all sentries; their clocks are held against each other first,
+which reads all the files: for large ones, cut or merge first.`
+}
+
+// joinable is how many bytes of files have their clocks compared without being asked.
+const joinable = 256 << 20
+
 func (c *followCmd) Run() error {
 	all, err := lives(c.Paths)
 	if err != nil {
@@ -56,16 +73,59 @@
 	if err != nil {
 		return err
 	}
-	for _, s := range stories {
-		if c.JSON {
-			json.NewEncoder(os.Stdout).Encode(s)
-			continue
-		}
-		s.Print(os.Stdout)
-	}
 	if len(stories) == 0 {
 		return fmt.Errorf("no txn fits %q", c.Txn)
 	}
+	var clocks []trace.Clock
+	if len(trace.LivesOf(stories)) > 1 {
+		if trace.SizeOf(all) <= joinable {
+			if clocks, err = trace.Clocks(all, func(string, trace.Damage) {}); err != nil {
+				return err
+			}
+		} else {
+			fmt.Fprintln(os.Stderr, "dunegrade: the sentries' clocks are taken as they are: the files are too large to compare them; see trace merge")
+		}
+	}
+	tale := trace.Join(stories, all, clocks)
+	if c.SVG != "" {
+		out, err := os.Create(c.SVG)
+		if err != nil {
+			return err
+		}
+		err = tale.SVG(out)
+		if cerr := out.Close(); err == nil {
+			err = cerr
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		for _, s := range stories {
+			if err := enc.Encode(s); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	tale.Print(os.Stdout)
+	if !c.Why {
+		return nil
+	}
+	for _, s := range stories {
+		list, err := trace.Why(s)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Name(), err)
+		}
+		fmt.Printf("\nat the last decision on %s\n", s.Name())
+		t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(t, "  worker\tbuild\tin hand\tof\ttimes the usual time\tagainst it")
+		for _, w := range list {
+			fmt.Fprintf(t, "  %s\t%d\t%d\t%.1f\t%.2f\t%s\n", w.Worker, w.Rel, w.Open, w.Limit, w.Slow, w.Against)
+		}
+		t.Flush()
+	}
 	return nil
 }
 
@@ -145,8 +205,17 @@
 }
 
 type summariseCmd struct {
-	Paths []string `arg:"" help:"Files or folders." type:"path"`
-	JSON  bool     `help:"Print JSON."`
+	Paths   []string `arg:"" help:"Files or folders." type:"path"`
+	Against []string `help:"Files or folders to hold them against: what changed from these." type:"path"`
+	HTML    string   `name:"html" help:"Write a page with charts to this file." type:"path"`
+	JSON    bool     `help:"Print JSON."`
+}
+
+func (*summariseCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace summarise state/trace --html today.html
+  dunegrade trace summarise tuesday/trace --against monday/trace`
 }
 
 func (c *summariseCmd) Run() error {
@@ -158,6 +227,30 @@
 	if err != nil {
 		return err
 	}
+	if c.HTML != "" {
+		page, err := s.Page("traces of " + strings.Join(c.Paths, ", "))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.HTML, []byte(page), 0o644); err != nil {
+			return err
+		}
+	}
+	if len(c.Against) > 0 {
+		if all, err = lives(c.Against); err != nil {
+			return err
+		}
+		before, err := trace.Summarise(all, hurt)
+		if err != nil {
+			return err
+		}
+		changes := trace.Compare(before, s)
+		if c.JSON {
+			return json.NewEncoder(os.Stdout).Encode(changes)
+		}
+		trace.PrintChanges(os.Stdout, changes)
+		return nil
+	}
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(s)
 	}
@@ -306,6 +399,37 @@
 
 type verifyCmd struct {
 	Paths []string `arg:"" help:"Files or folders." type:"path"`
+	Rules bool     `help:"Hold the five rules against them, all files in one order."`
+	With  string   `help:"With --rules: against an edge's settings file in place of the settings recorded." type:"path"`
+	Cores float64  `help:"With --rules: cores of a worker, for the rule on cold ones."`
+	JSON  bool     `help:"With --rules: print JSON."`
+}
+
+// rules holds the rules against lives.
+func (c *verifyCmd) rules(all []*trace.Life) error {
+	plan := trace.RulesPlan{Cores: c.Cores}
+	if c.With != "" {
+		e, err := config.ReadEdge(c.With)
+		if err != nil {
+			return unusable{err}
+		}
+		plan.Settings = e.Module
+	}
+	r, err := trace.CheckRules(all, plan, hurt)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+			return err
+		}
+	} else {
+		r.Print(os.Stdout)
+	}
+	if len(r.Broken) > 0 {
+		return fmt.Errorf("%d breaks of the rules", len(r.Broken))
+	}
+	return nil
 }
 
 func (c *verifyCmd) Run() error {
@@ -313,6 +437,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Rules {
+		return c.rules(all)
+	}
 	bad := 0
 	for _, l := range all {
 		records, gaps, last, back := 0, uint64(0), int64(0), 0
@@ -346,7 +473,16 @@
 }
 
 type exportCmd struct {
-	Paths []string `arg:"" help:"Files or folders." type:"path"`
+	Paths  []string `arg:"" help:"Files or folders." type:"path"`
+	Format string   `help:"json: a line a record; otlp: OpenTelemetry's TracesData, a span a txn and one a submission." enum:"json,otlp" default:"json"`
+	O      string   `short:"o" help:"Write to this file." type:"path"`
+}
+
+func (*exportCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace export state/trace | jq 'select(.What == "DECLINE")'
+  dunegrade trace export --format otlp -o spans.binpb state/trace`
 }
 
 func (c *exportCmd) Run() error {
@@ -354,21 +490,43 @@
 	if err != nil {
 		return err
 	}
-	out := bufio.NewWriter(os.Stdout)
-	defer out.Flush()
+	file := os.Stdout
+	if c.O != "" {
+		if file, err = os.OpenFile(c.O, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644); err != nil {
+			return err
+		}
+		defer file.Close()
+	}
+	if c.Format == "otlp" {
+		clocks, err := trace.Clocks(all, func(string, trace.Damage) {})
+		if err != nil {
+			return err
+		}
+		n, err := trace.ExportSpans(all, clocks, file, hurt)
+		if err == nil && c.O != "" {
+			fmt.Printf("%s: %d spans\n", c.O, n)
+		}
+		return err
+	}
+	out := bufio.NewWriter(file)
 	enc := json.NewEncoder(out)
 	for _, l := range all {
+		var fault error
 		err := l.Each(func(r *trace.Record, names []string) bool {
-			return enc.Encode(struct {
+			fault = enc.Encode(struct {
 				Sentry uint32
 				What   string
 				Worker string `json:",omitempty"`
 				*trace.Record
-			}{l.Sentry, r.Kind.String(), names[r.Worker], r}) == nil
+			}{l.Sentry, r.Kind.String(), names[r.Worker], r})
+			return fault == nil
 		}, hurt)
+		if err == nil {
+			err = fault
+		}
 		if err != nil {
 			return err
 		}
 	}
-	return nil
+	return out.Flush()
 }
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -188,6 +188,9 @@
 	if p.Effect == "referenced" {
 		mark = fmt.Sprintf("Idempotency-Key: %d\r\n", r.Lineage)
 	}
+	if p.Effect != "inquiry-like" { // as a shop traces its orders: a repeat has its first try's trace id
+		mark += fmt.Sprintf("traceparent: 00-%016x%016x-%016x-01\r\n", uint64(c.day.Seed)+1, r.Lineage, r.ID)
+	}
 	bad := ""
 	if o.bad {
 		bad = "Lab-Bad: 1\r\n"
--- a/lab/days_test.go
+++ b/lab/days_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
+	"dunegrade/config"
 	"dunegrade/edge"
 	"dunegrade/trace"
 )
@@ -30,6 +33,84 @@
   (platform (stages 0.2 0.5 1) (slack 1.3) (bake 800ms) (window 3s) (free 3) (one-way true) (news-late 100ms) (list-late 100ms) (drain 500ms))
   %s)`
 
+// agree holds the rules against the edges' traces, and the verdict against the sockets' one: rules, not counts, as the
+// checker allows for what lies between a socket and a record.
+func agree(t *testing.T, day *Day, broken []Violation, dir string, settings map[string]any) {
+	t.Helper()
+	lives, err := trace.Lives([]string{filepath.Join(dir, "state", "trace")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := trace.CheckRules(lives, trace.RulesPlan{Cores: float64(day.Kind.Cores), Settings: settings}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sockets, traces := map[int]bool{}, map[int]bool{}
+	for _, v := range broken {
+		sockets[v.Rule] = true
+	}
+	for _, b := range r.Broken {
+		traces[b.Rule] = true
+	}
+	if r.Txns < 100 || !maps.Equal(sockets, traces) {
+		var text strings.Builder
+		r.Print(&text)
+		t.Errorf("the sockets show rules %v broken, the traces %v\n%s", sockets, traces, text.String())
+	}
+}
+
+// TestTracesAndSocketsSeeTheSameBreaks plays days whose edges are given other figures than the platform's, so that they
+// break rules: both checkers must find the same ones.
+func TestTracesAndSocketsSeeTheSameBreaks(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays days for seconds each")
+	}
+	for _, c := range []struct {
+		name, script, from, to string
+		rule                   int
+	}{
+		{"exposure", "(offer (at 500ms) (flaw good))", "(window 3s)", "(window 30ms)", 5},
+		{"memory", "(trouble slow (at 500ms) (for 4s) (many 6) (size 60))", "(memory 2s)", "(memory 40ms)", 0},
+		{"once-only taken for inquiry-like", "(trouble crash (at 1s) (for 2s) (many 4)) (trouble fast-errors (at 500ms) (for 4s) (many 4) (size 0.8))",
+			"(effect once-only)", "(effect inquiry-like)", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			text := fmt.Sprintf(shortDay, c.name, "7s", c.script)
+			if c.name == "exposure" { // a stage that lasts, at a cap far below what one machine of four would be sent
+				text = strings.NewReplacer("(stages 0.2", "(stages 0.05", "(bake 800ms)", "(bake 6s)", "(machines 6)", "(machines 4)").Replace(text)
+			}
+			day, err := ParseDay("short.sexp", text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			dir := t.TempDir()
+			var right map[string]any
+			r := &Runner{Day: day, Out: dir, Edge: func(settings string) *exec.Cmd {
+				if plan, err := config.ReadEdge(settings); err == nil && right == nil {
+					right = plan.Module
+				}
+				data, err := os.ReadFile(settings)
+				if err == nil {
+					os.WriteFile(settings, []byte(strings.ReplaceAll(string(data), c.from, c.to)), 0o644)
+				}
+				cmd := exec.Command(os.Args[0], settings)
+				cmd.Env = append(os.Environ(), "LAB_EDGE=1")
+				return cmd
+			}}
+			rec, err := r.Run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			broken := Check(day, rec)
+			if c.rule > 0 && !slices.ContainsFunc(broken, func(v Violation) bool { return v.Rule == c.rule }) {
+				t.Errorf("the sockets do not show rule %d broken", c.rule)
+			}
+			agree(t, day, broken, dir, right)
+		})
+	}
+}
+
 // TestTroubles plays one short day for every kind of trouble and build, and holds the rules against the sockets.
 // What is asked beyond the rules leaves so much room that a busy machine does not change it.
 func TestTroubles(t *testing.T) {
@@ -102,6 +183,7 @@
 			if _, err := WriteReport(dir, f, rec.Marks); err != nil {
 				t.Error(err)
 			}
+			agree(t, day, broken, dir, nil)
 			// What the edges recorded must lead to the same decisions again, also where one was killed.
 			lives, err := trace.Lives([]string{filepath.Join(dir, "state", "trace")})
 			if err != nil || len(lives) < day.Sentries {
--- a/trace/anonymise.go
+++ b/trace/anonymise.go
@@ -115,6 +115,9 @@
 // leaves out.
 func Anonymise(l *Life, s Secret, w io.Writer, hurt func(path string, d Damage)) error {
 	in := l.Headers[0]
+	if l.origin != 0 {
+		return fmt.Errorf("trace: %s is a merged file; anonymise the files that it was made of, and merge what comes out", l.Paths[0])
+	}
 	set, err := s.settings(in.Settings)
 	if err != nil {
 		return err
@@ -152,7 +155,7 @@
 			if out.Body, fault = s.list(r.Body); fault != nil {
 				return false
 			}
-		case tracepb.Kind_NEWS, tracepb.Kind_TALLY:
+		case tracepb.Kind_NEWS, tracepb.Kind_STANDING, tracepb.Kind_TALLY:
 			if out.Body, fault = numbersOnly(r.Kind, r.Body); fault != nil {
 				return false
 			}
--- a/trace/cut.go
+++ b/trace/cut.go
@@ -9,7 +9,6 @@
 	"dunegrade/trace/tracepb"
 )
 
-
 // Filter chooses txns. What is empty chooses all; what is given must all fit.
 type Filter struct {
 	From, Till int64 // wall clock, nanoseconds since 1970, of the taking; 0: open
@@ -32,6 +31,9 @@
 // Cut writes the chosen txns of a life as one file of its own: all their records, and what the platform told. It gives how
 // many txns it holds. The rest is left out, so the file says that it is a part.
 func Cut(l *Life, f Filter, w io.Writer, hurt func(path string, d Damage)) (int, error) {
+	if l.origin != 0 {
+		return 0, fmt.Errorf("trace: %s is a merged file; cut the files that it was made of, and merge what comes out", l.Paths[0])
+	}
 	fit, err := l.choose(f, hurt)
 	if err != nil {
 		return 0, err
--- a/trace/follow.go
+++ b/trace/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"dunegrade/logic"
 	"dunegrade/trace/tracepb"
@@ -104,8 +105,10 @@
 	Taken   int64     // the sentry's clock
 	Expiry  int64
 	Steps   []Step
-	End     string // settled, declined, voided, left, or cut: the trace ends before it did
-	Builds  map[string]int64
+	End     string        // settled, declined, voided, left, or cut: the trace ends before it did
+	Unsure  time.Duration `json:",omitempty"` // Wall may be off by so much against other sentries; negative: by any
+	life    *Life
+	product int
 	id      uint64
 	out     int
 	done    bool
@@ -121,10 +124,13 @@
 	Number  uint32
 	Worker  string
 	Build   int64
+	Trial   bool // that build was on trial then, as far as the sentry knew
 	Ending  logic.Ending
 	Elapsed time.Duration
 	Token   uint64
 	Span    time.Duration
+	What    string // for people, as is Why
+	Why     string
 }
 
 var endingTexts = map[logic.Ending]string{logic.OK: "ok", logic.Cancelled: "called off", logic.TimedOut: "timed out", logic.Full: "turned away unseen",
@@ -150,7 +156,6 @@
 func (l *Life) follow(q Query, hurt func(string, Damage)) ([]*Story, error) {
 	var out []*Story
 	open := map[uint64]*Story{}
-	builds := map[string]int64{}
 	for k, path := range l.Paths {
 		f, done, err := OpenPath(path)
 		if err != nil {
@@ -159,17 +164,31 @@
 		for _, d := range f.Damages {
 			hurt(path, d)
 		}
+		var news tracepb.News
 		for i := range f.Blocks {
 			if len(open) == 0 && !q.may(f, i) {
 				continue
 			}
+			builds := map[string]int64{}
 			err := f.Read(i, func(r *Record, names []string) bool {
+				switch r.Kind {
+				case tracepb.Kind_WORKER:
+					builds[r.Text] = int64(r.Token)
+					return true
+				case tracepb.Kind_NEWS, tracepb.Kind_STANDING:
+					if l.origin == 0 || r.Origin == l.origin {
+						news.Reset()
+						proto.Unmarshal(r.Body, &news) // what cannot be read tells nothing
+					}
+					return true
+				}
 				if l.origin != 0 && r.Origin != l.origin {
 					return true
 				}
 				if r.Kind == tracepb.Kind_TAKE && q.fits(r) {
 					s := &Story{Edge: l.Edge, Sentry: l.Sentry, Serial: r.Serial, Key: r.Key, TraceID: r.TraceID, Taken: r.At, Expiry: r.At + int64(r.Patience),
-						Wall: time.Unix(0, l.Headers[k].Wall+r.At-l.Headers[k].Start).UTC(), id: r.Txn, Builds: builds, End: "cut"}
+						Wall: time.Unix(0, l.Headers[k].Wall+r.At-l.Headers[k].Start).UTC(), id: r.Txn, End: "cut", life: l, product: int(r.Product),
+						Unsure: time.Duration(l.Unsure)}
 					if int(r.Product) < len(l.Headers[k].Products) {
 						s.Product = l.Headers[k].Products[r.Product]
 					}
@@ -180,7 +199,8 @@
 					out = append(out, s)
 				}
 				if s := open[r.Txn]; s != nil && r.Txn != 0 {
-					s.step(r, names)
+					build := builds[names[r.Worker]]
+					s.step(r, names, build, build > news.Build || build == news.Build && logic.Phase(news.Phase) != logic.Released)
 					if s.done {
 						delete(open, r.Txn)
 					}
@@ -197,26 +217,100 @@
 }
 
 // step adds a record of the txn to its story.
-func (s *Story) step(r *Record, names []string) {
+func (s *Story) step(r *Record, names []string, build int64, trial bool) {
 	t := Step{At: r.At, Kind: r.Kind, Number: r.Number, Worker: names[r.Worker], Ending: logic.Ending(r.Ending), Elapsed: time.Duration(r.Elapsed),
 		Token: r.Token, Span: time.Duration(r.Span)}
 	switch r.Kind {
 	case tracepb.Kind_SUBMIT:
-		t.Number = 0
-		for _, x := range s.Steps {
-			if x.Kind == tracepb.Kind_SUBMIT {
-				t.Number++
-			}
-		}
+		t.Build, t.Trial = build, trial && build > 0
+		t.Number = uint32(len(s.sent()))
 		s.out++
 	case tracepb.Kind_OUTCOME:
 		s.out--
 	}
+	s.explain(&t)
 	s.End = endAfter(s.End, r)
 	s.Steps = append(s.Steps, t)
 	s.done = s.End != "cut" && s.out == 0
 }
 
+// sent lists the submissions so far.
+func (s *Story) sent() (out []*Step) {
+	for i := range s.Steps {
+		if s.Steps[i].Kind == tracepb.Kind_SUBMIT {
+			out = append(out, &s.Steps[i])
+		}
+	}
+	return out
+}
+
+// explain says what a step is, and why it came, as far as the records before it tell.
+func (s *Story) explain(t *Step) {
+	sent := s.sent()
+	to := func(n uint32) string {
+		if int(n) < len(sent) {
+			return sent[n].Worker
+		}
+		return "a worker that is not recorded"
+	}
+	switch t.Kind {
+	case tracepb.Kind_TAKE:
+		t.What = "taken"
+	case tracepb.Kind_SUBMIT:
+		t.What = fmt.Sprintf("submission %d to %s", t.Number, t.Worker)
+		t.Why = "first choice"
+		if len(s.Steps) > 0 && len(sent) > 0 {
+			t.Why = "a second copy, as the first is long in coming"
+			for i := len(s.Steps) - 1; i > 0; i-- {
+				if x := &s.Steps[i]; x.Kind == tracepb.Kind_OUTCOME && x.At == t.At {
+					t.Why = fmt.Sprintf("again, as submission %d ended: %s", x.Number, endingTexts[x.Ending])
+					break
+				}
+			}
+		}
+		if t.Build > 0 {
+			t.Why += fmt.Sprintf("; build %d", t.Build)
+			if t.Trial {
+				t.Why += ", on trial"
+			}
+		}
+	case tracepb.Kind_OUTCOME:
+		t.What = fmt.Sprintf("submission %d at %s ended", t.Number, to(t.Number))
+		t.Why = fmt.Sprintf("%s after %.1f ms", endingTexts[t.Ending], float64(t.Elapsed)/1e6)
+		if t.Token != 0 {
+			t.Why += fmt.Sprintf(", the client was answered with %d", t.Token)
+		}
+	case tracepb.Kind_CANCEL:
+		t.What = fmt.Sprintf("submission %d at %s called off", t.Number, to(t.Number))
+		t.Why = "the txn is over"
+	case tracepb.Kind_DECLINE:
+		t.What, t.Why = "declined", fmt.Sprintf("%s; may come back after %v", s.lack(), t.Span)
+	case tracepb.Kind_VOID:
+		t.What, t.Why = "voided", s.lack()
+	case tracepb.Kind_LEFT:
+		t.What, t.Why = "its client left", fmt.Sprintf("after %v of a patience of %v", time.Duration(t.At-s.Taken).Round(time.Millisecond),
+			time.Duration(s.Expiry-s.Taken).Round(time.Millisecond))
+	case tracepb.Kind_STREAMING:
+		t.What = fmt.Sprintf("submission %d streams its answer", t.Number)
+	default:
+		t.What = strings.ToLower(t.Kind.String())
+	}
+}
+
+// lack says why a txn was given up.
+func (s *Story) lack() string {
+	sent := len(s.sent())
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		if x := &s.Steps[i]; x.Kind == tracepb.Kind_OUTCOME {
+			return fmt.Sprintf("submission %d of %d ended (%s), and no worker could be sent another", x.Number+1, sent, endingTexts[x.Ending])
+		}
+	}
+	if sent > 0 {
+		return "its time was up"
+	}
+	return "no worker could be sent it"
+}
+
 // endAfter is how a txn stands after one more of its records: "cut" until its end is recorded.
 func endAfter(end string, r *Record) string {
 	switch {
@@ -232,46 +326,21 @@
 	return end
 }
 
-// Print tells the story as a table.
-func (s *Story) Print(w io.Writer) {
+// head tells which txn it is.
+func (s *Story) head(w io.Writer) {
 	fmt.Fprintf(w, "txn %s at edge %s: %s, taken about %s, patience %v, %s\n", s.Name(), s.Edge, s.Product, s.Wall.Format(time.RFC3339Nano),
 		time.Duration(s.Expiry-s.Taken).Round(time.Millisecond), map[bool]string{true: "no end recorded: the trace ends before the txn did", false: s.End}[s.End == "cut"])
 	if s.TraceID != [2]uint64{} {
 		fmt.Fprintf(w, "trace id %016x%016x\n", s.TraceID[0], s.TraceID[1])
 	}
+}
+
+// Print tells the story as a table.
+func (s *Story) Print(w io.Writer) {
+	s.head(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	to := map[uint32]string{}
 	for _, x := range s.Steps {
-		what, detail := "", ""
-		switch x.Kind {
-		case tracepb.Kind_TAKE:
-			what = "taken"
-		case tracepb.Kind_SUBMIT:
-			to[x.Number] = x.Worker
-			what, detail = fmt.Sprintf("submission %d to %s", x.Number, x.Worker), "first choice"
-			if x.Number > 0 {
-				detail = "a further one"
-			}
-		case tracepb.Kind_OUTCOME:
-			what = fmt.Sprintf("submission %d at %s ended", x.Number, to[x.Number])
-			detail = fmt.Sprintf("%s after %.1f ms", endingTexts[x.Ending], float64(x.Elapsed)/1e6)
-			if x.Token != 0 {
-				detail += fmt.Sprintf(", the client was answered with %d", x.Token)
-			}
-		case tracepb.Kind_CANCEL:
-			what = fmt.Sprintf("submission %d at %s called off", x.Number, to[x.Number])
-		case tracepb.Kind_DECLINE:
-			what, detail = "declined", fmt.Sprintf("back after %v", x.Span)
-		case tracepb.Kind_VOID:
-			what = "voided"
-		case tracepb.Kind_LEFT:
-			what = "its client left"
-		case tracepb.Kind_STREAMING:
-			what = fmt.Sprintf("submission %d streams", x.Number)
-		default:
-			what = strings.ToLower(x.Kind.String())
-		}
-		fmt.Fprintf(t, "  %9.3f ms\t%s\t%s\n", math.Round(float64(x.At-s.Taken)/1e3)/1e3, what, detail)
+		fmt.Fprintf(t, "  %9.3f ms\t%s\t%s\n", math.Round(float64(x.At-s.Taken)/1e3)/1e3, x.What, x.Why)
 	}
 	t.Flush()
 }
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -34,6 +34,7 @@
 	number  uint32 // of the block
 	rec     Record
 	begun   begun
+	news    []byte   // as last told
 	hold    *holder  // nil where all is written at once
 	spare   []*block // the loop's own; the last one used is still in the cache
 	free    chan *block
@@ -50,7 +51,10 @@
 	lostSince atomic.Int64
 }
 
-type named struct{ number, block uint32 }
+type named struct {
+	number, block uint32
+	build         uint64
+}
 
 // begun is a TAKE that is not written yet: what the module nearly always does at once goes into the same record.
 type begun struct {
@@ -195,6 +199,10 @@
 	b.records, b.keys, b.taken = b.records[:0], b.keys[:0], 0
 	b.info.Reset()
 	b.info.First = int64(now)
+	if k.news != nil {
+		k.rec = Record{Kind: tracepb.Kind_STANDING, At: int64(now), Body: k.news}
+		k.put()
+	}
 	return true
 }
 
@@ -267,7 +275,7 @@
 	if n.block != k.number {
 		k.cur.info.Workers++
 		n.number, n.block = k.cur.info.Workers, k.number
-		k.rec = Record{Kind: tracepb.Kind_WORKER, At: int64(now), Worker: n.number, Text: string(id)}
+		k.rec = Record{Kind: tracepb.Kind_WORKER, At: int64(now), Worker: n.number, Text: string(id), Token: n.build}
 		k.put()
 	}
 	return n.number
@@ -285,6 +293,14 @@
 func (k *Recorder) List(now logic.Nanos, mode logic.ListMode, list []logic.Worker) {
 	l := &tracepb.List{}
 	for _, w := range list {
+		n := k.workers[w.ID]
+		if n == nil {
+			n = &named{}
+			k.workers[w.ID] = n
+		}
+		if n.build != uint64(w.Rel) {
+			n.build, n.block = uint64(w.Rel), 0 // it is named anew
+		}
 		l.Workers = append(l.Workers, &tracepb.List_Worker{Id: string(w.ID), Zone: int64(w.Zone), Kind: int64(w.Kind), Cell: int64(w.Cell),
 			State: int64(w.State), Weight: w.Weight, Build: int64(w.Rel), Start: int64(w.Start)})
 	}
@@ -293,8 +309,14 @@
 
 // News records news of the newest build.
 func (k *Recorder) News(now logic.Nanos, n logic.News) {
-	k.message(now, Record{Kind: tracepb.Kind_NEWS}, &tracepb.News{Stage: int64(n.Stage), Answer: n.Answer, Build: int64(n.Rel), Cap: n.Cap,
-		Phase: int64(n.Phase), Age: int64(n.Age), Ending: int64(n.Ending)})
+	m := &tracepb.News{Stage: int64(n.Stage), Answer: n.Answer, Build: int64(n.Rel), Cap: n.Cap, Phase: int64(n.Phase), Age: int64(n.Age),
+		Ending: int64(n.Ending)}
+	k.message(now, Record{Kind: tracepb.Kind_NEWS}, m)
+	if n.Ending == logic.OK {
+		if data, err := proto.Marshal(m); err == nil {
+			k.news = data
+		}
+	}
 }
 
 // Tally records the platform's count.
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -284,7 +284,7 @@
 			return true
 		}
 		switch r.Kind {
-		case tracepb.Kind_WORKER, tracepb.Kind_END, tracepb.Kind_LEFT_OUT:
+		case tracepb.Kind_WORKER, tracepb.Kind_END, tracepb.Kind_LEFT_OUT, tracepb.Kind_STANDING:
 			return true
 		case tracepb.Kind_GAP:
 			fault = ErrGap
--- a/trace/summary.go
+++ b/trace/summary.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -25,6 +27,38 @@
 	Workers  []*PartSum
 	Builds   []*PartSum
 	Votes    map[string]int
+	LeftOut  uint64 `json:",omitempty"` // by sampling: txns that ended well, of all products together
+	Series   []Bucket
+	Tests    []Test
+	Exposure []*Exposure
+}
+
+// Bucket is what happened within a second (or more, where that makes many).
+type Bucket struct {
+	At                                     time.Time
+	Taken, Settled, Declined, Voided, Left int
+	Trial, TrialBad, Others, OthersBad     int     // submissions that ended: at builds on trial, and elsewhere
+	TrialTime, OthersTime                  float64 // ms, mean of those that were fine
+	Cap                                    float64 // the largest that a sentry was told
+}
+
+// Test is what a sentry's test said when it came to a verdict.
+type Test struct {
+	At                             time.Time
+	Sentry                         uint32
+	Verdict                        string
+	Build                          int
+	Pairs, Against, For, P, Spread float64
+}
+
+// Exposure is how much of a build on trial a sentry used, in the window where it used the largest part of what it may.
+type Exposure struct {
+	Sentry      uint32
+	Build       int64
+	Submissions int     // in all
+	Most        int     // in that window
+	Allowed     float64 // then
+	At          time.Time
 }
 
 // ProductSum is how a product's txns went.
@@ -63,13 +97,19 @@
 	build   map[string]int64 // of a worker, by the list
 	open    map[uint64]*openTxn
 	names   []string
+	offset  int64
+	news    tracepb.News
+	buckets map[int64]*Bucket
+	ruled   *ruled // counts exposure as the rule does
+	spent   map[int64]*Exposure
+	sentry  uint32
 }
 
 var verdictTexts = map[uint32]string{0: "none", 1: "on", 2: "hold", 3: "back"}
 
 // Summarise reads some lives. Damage is passed over and named to hurt.
 func Summarise(lives []*Life, hurt func(path string, d Damage)) (*Summary, error) {
-	s := &summing{out: &Summary{Lives: len(lives), Votes: map[string]int{}}, workers: map[string]*PartSum{}, builds: map[string]*PartSum{}}
+	s := &summing{buckets: map[int64]*Bucket{}, out: &Summary{Lives: len(lives), Votes: map[string]int{}}, workers: map[string]*PartSum{}, builds: map[string]*PartSum{}}
 	byName := map[string]*ProductSum{}
 	for _, l := range lives {
 		s.build, s.open = map[string]int64{}, map[uint64]*openTxn{}
@@ -80,9 +120,18 @@
 				s.out.Products = append(s.out.Products, byName[n])
 			}
 		}
-		offset := l.Headers[0].Wall - l.Headers[0].Start
-		err := l.Each(func(r *Record, names []string) bool {
-			when := time.Unix(0, r.At+offset).UTC()
+		s.offset = l.Headers[0].Wall - l.Headers[0].Start
+		s.news.Reset()
+		s.spent, s.sentry = map[int64]*Exposure{}, l.Sentry
+		var err error
+		if s.ruled, err = newRuled(l, RulesPlan{}, &RulesReport{}); err != nil {
+			return nil, err
+		}
+		err = l.Each(func(r *Record, names []string) bool {
+			if r.Kind == tracepb.Kind_BACK || r.Kind == tracepb.Kind_WORKER {
+				return true
+			}
+			when := time.Unix(0, r.At+s.offset).UTC()
 			if s.out.First.IsZero() || when.Before(s.out.First) {
 				s.out.First = when
 			}
@@ -96,6 +145,9 @@
 		if err != nil {
 			return nil, err
 		}
+		for _, build := range slices.Sorted(maps.Keys(s.spent)) {
+			s.out.Exposure = append(s.out.Exposure, s.spent[build])
+		}
 		for _, x := range s.open {
 			if !x.over {
 				byName[s.names[x.product]].Open++
@@ -106,6 +158,13 @@
 		p.P50, p.P99 = quantiles(p.times)
 	}
 	s.out.Workers, s.out.Builds = sorted(s.workers), sorted(s.builds)
+	for _, at := range slices.Sorted(maps.Keys(s.buckets)) {
+		b := s.buckets[at]
+		b.TrialTime /= float64(max(1, b.Trial-b.TrialBad))
+		b.OthersTime /= float64(max(1, b.Others-b.OthersBad))
+		s.out.Series = append(s.out.Series, *b)
+	}
+	sort.SliceStable(s.out.Tests, func(i, j int) bool { return s.out.Tests[i].At.Before(s.out.Tests[j].At) })
 	return s.out, nil
 }
 
@@ -132,7 +191,25 @@
 
 func (s *summing) add(r *Record, names []string, byName map[string]*ProductSum) {
 	x := s.open[r.Txn]
+	b := s.bucket(r.At)
+	s.exposed(r, names)
 	switch r.Kind {
+	case tracepb.Kind_NEWS, tracepb.Kind_STANDING:
+		s.news.Reset()
+		proto.Unmarshal(r.Body, &s.news) // what cannot be read tells nothing
+		return
+	case tracepb.Kind_LEFT_OUT:
+		s.out.LeftOut += r.Token
+		return
+	case tracepb.Kind_LOG:
+		t := Test{At: time.Unix(0, r.At+s.offset).UTC(), Sentry: s.sentry}
+		verdict := uint32(0)
+		if n, _ := fmt.Sscanf(r.Text, "vote %d on build %d: %f pairs, %f against, %f for, p %f, spread %f", &verdict, &t.Build, &t.Pairs, &t.Against, &t.For,
+			&t.P, &t.Spread); n == 7 {
+			t.Verdict = verdictTexts[verdict]
+			s.out.Tests = append(s.out.Tests, t)
+		}
+		return
 	case tracepb.Kind_LIST:
 		var l tracepb.List
 		if proto.Unmarshal(r.Body, &l) == nil {
@@ -151,6 +228,7 @@
 		if int(r.Product) < len(s.names) {
 			s.open[r.Txn] = &openTxn{taken: r.At, product: int(r.Product)}
 			byName[s.names[r.Product]].Taken++
+			b.Taken++
 		}
 		return
 	}
@@ -158,9 +236,10 @@
 		return
 	}
 	p := byName[s.names[x.product]]
-	end := func(count *int) {
+	end := func(count, inBucket *int) {
 		if !x.over {
 			*count++
+			*inBucket++
 			x.over = true
 		}
 	}
@@ -178,6 +257,7 @@
 		x.out--
 		if int(r.Number) < len(x.sent) {
 			w := x.sent[r.Number]
+			s.ended(b, r, s.build[w])
 			for _, q := range []*PartSum{part(s.workers, w), part(s.builds, fmt.Sprint(s.build[w]))} {
 				q.Endings[endingTexts[logic.Ending(r.Ending)]]++
 				if logic.Ending(r.Ending) == logic.OK {
@@ -186,23 +266,77 @@
 			}
 		}
 		if r.Over && logic.Ending(r.Ending) == logic.OK && !x.over {
-			end(&p.Settled)
+			end(&p.Settled, &b.Settled)
 			p.times.RecordValue(min(3_600_000_000, max(1, (r.At-x.taken)/1000)))
 		}
 	case tracepb.Kind_STREAMING:
-		end(&p.Settled)
+		end(&p.Settled, &b.Settled)
 	case tracepb.Kind_DECLINE:
-		end(&p.Declined)
+		end(&p.Declined, &b.Declined)
 	case tracepb.Kind_VOID:
-		end(&p.Voided)
+		end(&p.Voided, &b.Voided)
 	case tracepb.Kind_LEFT:
-		end(&p.Left)
+		end(&p.Left, &b.Left)
 	}
 	if x.over && x.out == 0 {
 		delete(s.open, r.Txn)
 	}
 }
 
+// bucket gives the one of a moment.
+func (s *summing) bucket(at int64) *Bucket {
+	second := (at + s.offset) / int64(time.Second)
+	b := s.buckets[second]
+	if b == nil {
+		b = &Bucket{At: time.Unix(second, 0).UTC()}
+		s.buckets[second] = b
+	}
+	b.Cap = max(b.Cap, s.news.Cap)
+	return b
+}
+
+// ended counts the end of a submission for its build's side of the trial.
+func (s *summing) ended(b *Bucket, r *Record, build int64) {
+	e := logic.Ending(r.Ending)
+	if e == logic.Cancelled || e == logic.Moot {
+		return
+	}
+	many, bad, sum := &b.Others, &b.OthersBad, &b.OthersTime
+	if build == s.news.Build && logic.Phase(s.news.Phase) != logic.Released {
+		many, bad, sum = &b.Trial, &b.TrialBad, &b.TrialTime
+	}
+	*many++
+	if e != logic.OK {
+		*bad++
+	} else {
+		*sum += float64(r.Elapsed) / 1e6
+	}
+}
+
+// exposed keeps, for each build on trial, the window that came nearest to what is allowed.
+func (s *summing) exposed(r *Record, names []string) {
+	u := s.ruled
+	if u.partial {
+		return
+	}
+	before := u.out.Trials
+	u.at = r.At + s.offset
+	u.record(r, names[r.Worker])
+	if u.out.Trials == before {
+		return
+	}
+	w := u.workers[names[r.Worker]]
+	e := s.spent[w.build]
+	if e == nil {
+		e = &Exposure{Sentry: s.sentry, Build: w.build, Allowed: 1}
+		s.spent[w.build] = e
+	}
+	e.Submissions++
+	if float64(u.used)/max(1e-9, u.allowed) > float64(e.Most)/e.Allowed {
+		e.Most, e.Allowed, e.At = u.used, u.allowed, time.Unix(0, u.at).UTC()
+	}
+}
+
 // Print writes the summary for a terminal.
 func (s *Summary) Print(w io.Writer) {
 	fmt.Fprintf(w, "%d lives, %d records, %s to %s, %d txns not recorded\n\n", s.Lives, s.Records, s.First.Format(time.RFC3339), s.Last.Format(time.RFC3339), s.Missing)
@@ -227,5 +361,16 @@
 		}
 		t.Flush()
 	}
+	if s.LeftOut > 0 {
+		fmt.Fprintf(w, "\nsampled: %d more txns ended well and are not in the files\n", s.LeftOut)
+	}
 	fmt.Fprintf(w, "\nvotes: %v\n", s.Votes)
+	for _, e := range s.Exposure {
+		fmt.Fprintf(w, "sentry %d, build %d on trial: %d submissions; nearest to the cap %d of %.1f allowed, at %s\n", e.Sentry, e.Build, e.Submissions,
+			e.Most, e.Allowed, e.At.Format(time.RFC3339Nano))
+	}
+	for _, t := range s.Tests {
+		fmt.Fprintf(w, "%s sentry %d: %s on build %d, %.0f pairs, %.1f against, %.1f for, p %.4f\n", t.At.Format("15:04:05.000"), t.Sentry, t.Verdict, t.Build,
+			t.Pairs, t.Against, t.For, t.P)
+	}
 }
--- a/trace/whatif.go
+++ b/trace/whatif.go
@@ -39,7 +39,7 @@
 		var fault error
 		err := l.Each(func(x *Record, names []string) bool {
 			switch {
-			case isAction(x.Kind), x.Kind == tracepb.Kind_WORKER, x.Kind == tracepb.Kind_END:
+			case isAction(x.Kind), x.Kind == tracepb.Kind_WORKER, x.Kind == tracepb.Kind_END, x.Kind == tracepb.Kind_STANDING:
 				return true
 			case x.Kind == tracepb.Kind_GAP:
 				fault = ErrGap
