--- a/trace/cut.go
+++ b/trace/cut.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	p.index.Blocks = append(p.index.Blocks, &tracepb.Index_Entry{Offset: p.size, Block: info})
+	p.index.Blocks = append(p.index.Blocks, p.enc.entry(p.size, info))
 	p.buf = p.buf[:0]
 	clear(p.names)
 	return p.write(frame)
--- a/trace/file.go
+++ b/trace/file.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 
 	"github.com/bits-and-blooms/bloom/v3"
 	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"dunegrade/trace/tracepb"
@@ -64,8 +66,8 @@
 	return crc32.Update(sum, castagnoli, frame[frameHead:])
 }
 
-// filterOf makes a block's filter of keys and trace ids: one in a hundred blocks is looked into for nothing.
-func filterOf(n int) *bloom.BloomFilter { return bloom.NewWithEstimates(uint(max(n, 16)), 0.01) }
+// filterOf makes a block's filter of keys and trace ids: three in a thousand blocks are looked into for nothing.
+func filterOf(n int) *bloom.BloomFilter { return bloom.NewWithEstimates(uint(max(n, 16)), 0.003) }
 
 func word(v uint64) []byte { return binary.LittleEndian.AppendUint64(nil, v) }
 
@@ -75,6 +77,13 @@
 	out  []byte
 	body []byte
 	keys []uint64
+	head int // bytes of the last frame before its records
+}
+
+// entry is the index's entry of the frame that was made last.
+func (e *encoder) entry(offset uint64, info *tracepb.Block) *tracepb.Index_Entry {
+	info.Keys = nil // they stand in the block's head, and would make the index huge
+	return &tracepb.Index_Entry{Offset: offset, Block: info, Head: uint32(e.head), HeadSum: crc32.Checksum(e.out[:e.head], castagnoli)}
 }
 
 func newEncoder() (*encoder, error) {
@@ -146,7 +155,8 @@
 		return nil, nil, err
 	}
 	e.body = e.zip.EncodeAll(records, e.body[:0])
-	e.out = appendFrame(e.out[:0], frameBlock, binary.AppendUvarint(nil, uint64(len(head))), head, e.body)
+	length := binary.AppendUvarint(nil, uint64(len(head)))
+	e.out, e.head = appendFrame(e.out[:0], frameBlock, length, head, e.body), frameHead+len(length)+len(head)
 	return e.out, info, nil
 }
 
@@ -188,33 +198,44 @@
 	zip     *zstd.Decoder
 	frame   []byte
 	records []byte
+	asked   uint64   // the key that places are of
+	places  []uint64 // before they are brought within a filter's size
 }
 
 // Open reads a file's header and its index, or finds the blocks where there is no index. Damage is not an error: it
 // is listed, and the blocks behind it are found. The errors are ErrNoTrace, ErrVersion and those of reading.
 func Open(in io.ReaderAt, size int64) (*File, error) {
-	z, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(longestBlock))
+	f, next, err := openHeader(in, size)
 	if err != nil {
 		return nil, err
 	}
+	if f.loadIndex() {
+		f.Closed = true
+		return f, nil
+	}
+	f.rebuild(next)
+	return f, nil
+}
+
+// openHeader reads a file's header alone.
+func openHeader(in io.ReaderAt, size int64) (*File, int64, error) {
+	z, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(longestBlock))
+	if err != nil {
+		return nil, 0, err
+	}
 	f := &File{in: in, size: size, zip: z}
 	kind, payload, next, err := f.read(0)
 	if err != nil || kind != frameStart {
-		return nil, ErrNoTrace
+		return nil, 0, ErrNoTrace
 	}
 	f.Header = &tracepb.Header{}
 	if err := proto.Unmarshal(payload, f.Header); err != nil {
-		return nil, ErrNoTrace
+		return nil, 0, ErrNoTrace
 	}
 	if f.Header.Version > Version {
-		return nil, fmt.Errorf("%w: %d; this program reads up to %d", ErrVersion, f.Header.Version, Version)
+		return nil, 0, fmt.Errorf("%w: %d; this program reads up to %d", ErrVersion, f.Header.Version, Version)
 	}
-	if f.loadIndex() {
-		f.Closed = true
-		return f, nil
-	}
-	f.rebuild(next)
-	return f, nil
+	return f, next, nil
 }
 
 // Close frees what the reader holds; the file below is the caller's.
@@ -330,24 +351,34 @@
 	return info, payload[used+int(n):], nil
 }
 
-// Read gives each record of block i to do, until it returns false. Records are valid during the call only; workers
-// are named by the block's WORKER records, whose ids are in names by their number.
-func (f *File) Read(i int, do func(r *Record, names []string) bool) error {
+// unpack makes a block's records ready in f.records.
+func (f *File) unpack(i int) (*tracepb.Block, error) {
 	e := f.Blocks[i]
 	kind, payload, _, err := f.read(int64(e.Offset))
 	if err == nil && kind != frameBlock {
 		err = ErrDamaged
 	}
 	if err != nil {
-		return fmt.Errorf("block %d at %d: %w", i, e.Offset, err)
+		return nil, fmt.Errorf("block %d at %d: %w", i, e.Offset, err)
 	}
 	info, packed, err := splitBlock(payload)
 	if err != nil {
-		return fmt.Errorf("block %d at %d: %w", i, e.Offset, err)
+		return nil, fmt.Errorf("block %d at %d: %w", i, e.Offset, err)
 	}
 	f.records, err = f.zip.DecodeAll(packed, f.records[:0])
 	if err != nil || len(f.records) != int(info.Size) {
-		return fmt.Errorf("block %d at %d: %w: it does not unpack", i, e.Offset, ErrDamaged)
+		return nil, fmt.Errorf("block %d at %d: %w: it does not unpack", i, e.Offset, ErrDamaged)
+	}
+	return info, nil
+}
+
+// Read gives each record of block i to do, until it returns false. Records are valid during the call only; workers
+// are named by the block's WORKER records, whose ids are in names by their number.
+func (f *File) Read(i int, do func(r *Record, names []string) bool) error {
+	e := f.Blocks[i]
+	info, err := f.unpack(i)
+	if err != nil {
+		return err
 	}
 	var r, x Record
 	names := make([]string, 1, info.Workers%(1<<16)+1)
@@ -407,17 +438,91 @@
 
 // Has tells whether block i may hold a key or a trace id (its halves, one over the other).
 func (f *File) Has(i int, key uint64) bool {
-	b := f.Blocks[i].Block
-	if len(b.Keys) == 0 {
+	e := f.Blocks[i]
+	keys := e.Block.Keys
+	if len(keys) == 0 && e.Head > 0 {
+		if e.Block.FirstSerial == 0 {
+			return false
+		}
+		var ok bool
+		if keys, ok = f.head(e); !ok {
+			return true // look rather than miss it
+		}
+	}
+	if len(keys) == 0 {
 		return false
 	}
-	// Danger: a damaged filter that claims to be huge must not be given that memory.
-	if len(b.Keys) < 24 || binary.BigEndian.Uint64(b.Keys[16:]) > uint64(len(b.Keys))*8 {
+	return f.inFilter(keys, key)
+}
+
+// head reads the filter in a block's head. The bytes are valid until the next call.
+func (f *File) head(e *tracepb.Index_Entry) ([]byte, bool) {
+	if int64(e.Head) > longestFrame || int64(e.Offset)+int64(e.Head) > f.size {
+		return nil, false
+	}
+	if cap(f.frame) < int(e.Head) {
+		f.frame = make([]byte, e.Head)
+	}
+	f.frame = f.frame[:e.Head]
+	if _, err := f.in.ReadAt(f.frame, int64(e.Offset)); err != nil || crc32.Checksum(f.frame, castagnoli) != e.HeadSum || e.Head < frameHead {
+		return nil, false
+	}
+	n, used := binary.Uvarint(f.frame[frameHead:])
+	if used <= 0 || n > uint64(len(f.frame)-frameHead-used) {
+		return nil, false
+	}
+	for in := f.frame[frameHead+used:]; len(in) > 0; {
+		field, kind, n := protowire.ConsumeTag(in)
+		if n < 0 {
+			return nil, false
+		}
+		in = in[n:]
+		if field == 7 && kind == protowire.BytesType {
+			v, n := protowire.ConsumeBytes(in)
+			return v, n >= 0
+		}
+		if n = protowire.ConsumeFieldValue(field, kind, in); n < 0 {
+			return nil, false
+		}
+		in = in[n:]
+	}
+	return nil, true
+}
+
+// inFilter looks a key up in a filter as it stands in the file: number of bits, number of hashes and the bits, in words of
+// eight bytes, the highest first. The library's own reader would copy it.
+func (f *File) inFilter(keys []byte, key uint64) bool {
+	if len(keys) < 32 {
 		return true
 	}
-	var filter bloom.BloomFilter
-	if filter.UnmarshalBinary(b.Keys) != nil {
-		return true // look rather than miss it
+	m, k := binary.BigEndian.Uint64(keys), binary.BigEndian.Uint64(keys[8:])
+	bits := keys[24:]
+	// Danger: a damaged filter may claim anything.
+	if m == 0 || m > uint64(len(bits))*8 || k == 0 || k > 64 {
+		return true
+	}
+	if f.asked != key || len(f.places) != int(k) {
+		f.asked, f.places = key, bloom.Locations(word(key), uint(k))
+	}
+	for _, at := range f.places {
+		at %= m
+		if binary.BigEndian.Uint64(bits[at/64*8:])>>(at%64)&1 == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Holds tells whether block i holds a key's bytes anywhere, without taking its records apart: most blocks that their
+// filter names in vain are told so by it.
+func (f *File) Holds(i int, keys ...uint64) bool {
+	if _, err := f.unpack(i); err != nil {
+		return true // Read says what is wrong
+	}
+	for _, k := range keys {
+		if k != 0 && bytes.Contains(f.records, word(k)) {
+			return true
+		}
 	}
-	return filter.Test(word(key))
+	return false
 }
--- a/trace/follow.go
+++ b/trace/follow.go
@@ -88,9 +88,9 @@
 	case q.Serial != 0:
 		return b.FirstSerial <= q.Serial && q.Serial <= b.LastSerial
 	case q.TraceID != [2]uint64{}:
-		return f.Has(i, q.TraceID[0]^q.TraceID[1])
+		return f.Has(i, q.TraceID[0]^q.TraceID[1]) && f.Holds(i, q.TraceID[1], q.TraceID[0])
 	}
-	return f.Has(i, q.Key)
+	return f.Has(i, q.Key) && f.Holds(i, q.Key)
 }
 
 // Story is all that was recorded of one txn.
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -59,13 +59,11 @@
 	byID := map[uint64]*Life{}
 	var out []*Life
 	for _, path := range files {
-		f, done, err := OpenPath(path)
+		h, err := headerOf(path)
 		if err != nil {
 			faults = append(faults, err)
 			continue
 		}
-		h := f.Header
-		done()
 		if len(h.Origins) > 0 {
 			out = append(out, origins(path, h)...)
 			continue
@@ -97,6 +95,25 @@
 	s.Headers[i], s.Headers[j] = s.Headers[j], s.Headers[i]
 }
 
+// headerOf reads a file's header.
+func headerOf(path string) (*tracepb.Header, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	info, err := in.Stat()
+	if err != nil {
+		return nil, err
+	}
+	f, _, err := openHeader(in, info.Size())
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	f.Close()
+	return f.Header, nil
+}
+
 // OpenPath opens a file by its path; done closes it.
 func OpenPath(path string) (f *File, done func(), err error) {
 	in, err := os.Open(path)
--- a/trace/store.go
+++ b/trace/store.go
@@ -148,7 +148,7 @@
 		s.abandon()
 		return err
 	}
-	s.index.Blocks = append(s.index.Blocks, &tracepb.Index_Entry{Offset: uint64(s.size), Block: info})
+	s.index.Blocks = append(s.index.Blocks, s.enc.entry(uint64(s.size), info))
 	s.size += int64(len(frame))
 	return nil
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -284,7 +284,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		index.Blocks = append(index.Blocks, &tracepb.Index_Entry{Offset: uint64(len(data)), Block: info})
+		index.Blocks = append(index.Blocks, enc.entry(uint64(len(data)), info))
 		data = append(data, frame...)
 		ends, records = append(ends, len(data)), append(records, 20*(b+1))
 	}
