Traces: what a killed edge had recorded up to that instant is kept

A killed process lost up to a second of its records, so the one booking that people ask about, in hand at that moment, was hardly ever in the files. Segments also took the wall clock of a block's writing for that of its first record, up to a second off.

Blocks that are not written yet stand in a locked file of a file system in memory; readers take it for the end of the life, and the next start puts it into a segment. A process killed at full speed three times: every txn it had handed over is found, before and after the next start. Each block is dated when it begins.

--- a/edge/loop.go
+++ b/edge/loop.go
@@ -202,7 +202,8 @@
 	if t.Folder == "" {
 		return nil
 	}
-	h := &tracepb.Header{Edge: l.p.plan.Name, Sentry: uint32(l.number), Customers: l.p.plan.Customers, Life: l.life}
+	h := &tracepb.Header{Edge: l.p.plan.Name, Sentry: uint32(l.number), Customers: l.p.plan.Customers, Life: l.life,
+		Wall: time.Now().UnixNano(), Start: int64(l.p.clock())}
 	switch t.Level {
 	case "sampled":
 		h.Level, h.OneIn = trace.LevelSampled, t.OneIn
@@ -212,7 +213,7 @@
 	for i := range l.p.plan.Products {
 		h.Products = append(h.Products, l.p.plan.Products[i].Name)
 	}
-	l.rec, err = trace.NewRecorder(trace.Disk(t.Folder), trace.Keep{SegmentBytes: t.SegmentBytes, SegmentAge: t.SegmentAge,
+	l.rec, err = trace.NewTailed(trace.Disk(t.Folder), t.Tail, trace.Keep{SegmentBytes: t.SegmentBytes, SegmentAge: t.SegmentAge,
 		TotalBytes: t.TotalBytes}, h, settings, l.log)
 	return err
 }
@@ -429,6 +430,9 @@
 		}
 		l.resume = l.resume[:0]
 	}
+	if l.rec != nil {
+		l.rec.Settle()
+	}
 	l.pumping = false
 }
 
--- a/trace/file.go
+++ b/trace/file.go
@@ -436,6 +436,17 @@
 	return r.At
 }
 
+// again tells whether block i was read before: a block that was being written stands in a tail as well. number is that
+// of the last one read.
+func (f *File) again(i int, number *uint64) bool {
+	n := f.Blocks[i].Block.Number
+	if n != 0 && n <= *number {
+		return true
+	}
+	*number = max(*number, n)
+	return false
+}
+
 // Has tells whether block i may hold a key or a trace id (its halves, one over the other).
 func (f *File) Has(i int, key uint64) bool {
 	e := f.Blocks[i]
--- a/trace/follow.go
+++ b/trace/follow.go
@@ -156,6 +156,7 @@
 func (l *Life) follow(q Query, hurt func(string, Damage)) ([]*Story, error) {
 	var out []*Story
 	open := map[uint64]*Story{}
+	number := uint64(0)
 	for k, path := range l.Paths {
 		f, done, err := OpenPath(path)
 		if err != nil {
@@ -166,7 +167,7 @@
 		}
 		var news tracepb.News
 		for i := range f.Blocks {
-			if len(open) == 0 && !q.may(f, i) {
+			if f.again(i, &number) || len(open) == 0 && !q.may(f, i) {
 				continue
 			}
 			builds := map[string]int64{}
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	news    []byte   // as last told
 	hold    *holder  // nil where all is written at once
 	spare   []*block // the loop's own; the last one used is still in the cache
+	tail    *tail    // nil: none
+	blocks  uint64   // begun so far
 	free    chan *block
 	full    chan *block
 	done    chan struct{}
@@ -67,15 +70,24 @@
 
 // block is a buffer of records with what is known of them.
 type block struct {
+	slot    []byte // of the tail; nil: none
 	records []byte
 	keys    []uint64
 	info    tracepb.Block
 	taken   uint64 // txns that are missing if it is lost: taken in it, or told missing in it
 	since   int64  // from when on they are
+	wall    int64  // when it was begun, nanoseconds since 1970
 }
 
-// NewRecorder starts a recorder with its writer, one goroutine, ended by Close. settings are what the module is given.
+// NewRecorder starts a recorder with its writer, one goroutine, ended by Close. settings are what the module is given;
+// the header's Wall and Start are the present moment by the wall clock and the sentry's.
 func NewRecorder(folder Folder, keep Keep, header *tracepb.Header, settings map[string]any, log *zap.Logger) (*Recorder, error) {
+	return NewTailed(folder, "", keep, header, settings, log)
+}
+
+// NewTailed does the same with a tail in the folder tails, which should be of a file system in memory; "" for none. What
+// dead processes left there of traces in the same folder is put into segments first.
+func NewTailed(folder Folder, tails string, keep Keep, header *tracepb.Header, settings map[string]any, log *zap.Logger) (*Recorder, error) {
 	h := proto.Clone(header).(*tracepb.Header)
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -92,17 +104,39 @@
 	if h.Level != LevelWhole {
 		k.hold = newHolder(h.Level, h.OneIn)
 	}
+	if tails != "" {
+		x := proto.Clone(h).(*tracepb.Header)
+		if dir, ok := folder.(Disk); ok {
+			if x.Folder, err = filepath.Abs(string(dir)); err != nil {
+				return nil, err
+			}
+		}
+		if k.tail, err = newTail(tails, x); err != nil {
+			log.Warn("no tail for traces: a kill loses up to a second of them", zap.Error(err))
+		}
+	}
 	for i := 0; i < buffers; i++ {
-		k.spare = append(k.spare, &block{records: make([]byte, 0, blockSize+blockSize/4), keys: make([]uint64, 0, 4096)})
+		b := &block{keys: make([]uint64, 0, 4096)}
+		if k.tail != nil {
+			b.slot = k.tail.slot(i)
+		} else {
+			b.records = make([]byte, 0, blockSize+blockSize/4)
+		}
+		k.spare = append(k.spare, b)
 	}
-	go k.write()
+	go k.write(tails)
 	return k, nil
 }
 
 // write packs blocks and writes them. When that fails it says so once, drops what comes, and tries again each
 // second with a new segment, which begins by telling what is missing.
-func (k *Recorder) write() {
+func (k *Recorder) write(tails string) {
 	defer close(k.done)
+	if tails != "" {
+		if err := rescue(k.store.folder, tails); err != nil {
+			k.log.Warn("traces of a process that died stay in its tail", zap.Error(err))
+		}
+	}
 	failing := false
 	var next time.Time
 	for s := range k.full {
@@ -125,8 +159,12 @@
 			k.log.Info("traces are written again", zap.Uint64("txns-not-recorded", k.lostBlock.Load()))
 			failing = false
 		}
+		s.free()
 		k.free <- s
 	}
+	if k.tail != nil {
+		defer k.tail.close()
+	}
 	if err := k.store.close(); err != nil && !failing {
 		k.log.Warn("the last trace segment has no index", zap.Error(err))
 	}
@@ -136,6 +174,7 @@
 	k.store.abandon()
 	k.lostSince.CompareAndSwap(0, s.since)
 	k.lostBlock.Add(s.taken)
+	s.free()
 	k.free <- s
 }
 
@@ -199,7 +238,10 @@
 	k.number++
 	b.records, b.keys, b.taken, b.since = b.records[:0], b.keys[:0], 0, int64(now)
 	b.info.Reset()
-	b.info.First = int64(now)
+	k.blocks++
+	b.info.First, b.info.Number = int64(now), k.blocks
+	b.wall = time.Now().UnixNano()
+	b.begin(k.blocks)
 	if k.news != nil {
 		k.rec = Record{Kind: tracepb.Kind_STANDING, At: int64(now), Body: k.news}
 		k.put()
@@ -231,6 +273,7 @@
 		return
 	}
 	k.cur.records = k.rec.Append(k.cur.records, k.last)
+	k.cur.grow()
 	k.cur.info.Records++
 	k.last = k.rec.At
 }
@@ -244,6 +287,7 @@
 
 func (k *Recorder) close(b []byte, at int, now int64) {
 	k.cur.records = length(b, at)
+	k.cur.grow()
 	k.cur.info.Records++
 	k.last = now
 }
@@ -386,6 +430,14 @@
 	return true
 }
 
+// Settle writes what waits to be put into one record with what may follow. Call it when the module has nothing more to
+// do, so that a kill finds all of it written.
+func (k *Recorder) Settle() {
+	if k.begun.open {
+		k.settle()
+	}
+}
+
 // settle writes the TAKE that was begun.
 func (k *Recorder) settle() { k.finish(0, 0) }
 
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -77,7 +78,10 @@
 		l.Paths, l.Headers = append(l.Paths, path), append(l.Headers, h)
 	}
 	for _, l := range out {
-		sort.Sort(bySegment{l})
+		if l.origin == 0 {
+			sort.Sort(bySegment{l})
+			l.addTail()
+		}
 	}
 	sort.Slice(out, func(i, j int) bool {
 		a, b := out[i], out[j]
@@ -86,6 +90,24 @@
 	return out, errors.Join(faults...)
 }
 
+// addTail has the life end with what its process has not written to segments yet, or, if it was killed, never will.
+func (l *Life) addTail() {
+	path := tailPath(TailsIn, l.ID)
+	f, _, err := openTail(path)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	own, err := filepath.Abs(filepath.Dir(l.Paths[0]))
+	if err == nil && f.Header.Folder == own && len(f.Blocks) > 0 {
+		f.Header.Segment = l.Headers[len(l.Headers)-1].Segment + 1
+		l.Paths, l.Headers = append(l.Paths, path), append(l.Headers, f.Header)
+	}
+}
+
+// TailsIn is where tails are looked for.
+var TailsIn = TailFolder
+
 type bySegment struct{ *Life }
 
 func (s bySegment) Len() int           { return len(s.Paths) }
@@ -97,6 +119,14 @@
 
 // headerOf reads a file's header.
 func headerOf(path string) (*tracepb.Header, error) {
+	if strings.HasSuffix(path, TailSuffix) {
+		f, _, err := openTail(path)
+		if err != nil {
+			return nil, err
+		}
+		f.Close()
+		return f.Header, nil
+	}
 	in, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -116,6 +146,12 @@
 
 // OpenPath opens a file by its path; done closes it.
 func OpenPath(path string) (f *File, done func(), err error) {
+	if strings.HasSuffix(path, TailSuffix) {
+		if f, _, err = openTail(path); err != nil {
+			return nil, nil, err
+		}
+		return f, f.Close, nil
+	}
 	in, err := os.Open(path)
 	if err != nil {
 		return nil, nil, err
@@ -134,6 +170,7 @@
 // Each gives every record of a life, in order. Damage found on the way is given to hurt, if it is not nil, and is an error
 // otherwise.
 func (l *Life) Each(do func(r *Record, names []string) bool, hurt func(path string, d Damage)) error {
+	number := uint64(0)
 	for i, path := range l.Paths {
 		if i > 0 && l.Headers[i].Segment != l.Headers[i-1].Segment+1 {
 			d := Damage{Why: fmt.Sprintf("segment %d is followed by %d", l.Headers[i-1].Segment, l.Headers[i].Segment)}
@@ -142,7 +179,7 @@
 			}
 			hurt(path, d)
 		}
-		more, err := l.eachOf(path, do, hurt)
+		more, err := l.eachOf(path, &number, do, hurt)
 		if err != nil || !more {
 			return err
 		}
@@ -150,7 +187,7 @@
 	return nil
 }
 
-func (l *Life) eachOf(path string, do func(r *Record, names []string) bool, hurt func(path string, d Damage)) (more bool, err error) {
+func (l *Life) eachOf(path string, number *uint64, do func(r *Record, names []string) bool, hurt func(path string, d Damage)) (more bool, err error) {
 	f, done, err := OpenPath(path)
 	if err != nil {
 		return false, err
@@ -168,6 +205,9 @@
 	}
 	more = true
 	for i := range f.Blocks {
+		if f.again(i, number) {
+			continue
+		}
 		err := f.Read(i, func(r *Record, names []string) bool {
 			if l.origin == 0 || r.Origin == l.origin || r.Kind == tracepb.Kind_WORKER || r.Kind == tracepb.Kind_BACK {
 				more = do(r, names)
--- a/trace/store.go
+++ b/trace/store.go
@@ -106,9 +106,9 @@
 }
 
 // open begins a segment.
-func (s *store) open(now time.Time, clock int64) error {
+func (s *store) open(now time.Time, wall, clock int64) error {
 	h := proto.Clone(s.header).(*tracepb.Header)
-	h.Segment, h.Wall, h.Start = s.segment, now.UnixNano(), clock
+	h.Segment, h.Wall, h.Start = s.segment, wall, clock
 	frame, err := headerFrame(h)
 	if err != nil {
 		return err
@@ -140,7 +140,7 @@
 		}
 	}
 	if s.file == nil {
-		if err := s.open(now, b.info.First); err != nil {
+		if err := s.open(now, b.wall, b.info.First); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/trace/tail_test.go
@@ -0,0 +1,212 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"dunegrade/logic"
+	"dunegrade/trace/tracepb"
+)
+
+// TestMain plays a sentry that is killed, where the test binary is started as one.
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("TRACE_KILLED"); dir != "" {
+		rec, err := NewTailed(Disk(dir), filepath.Dir(dir), keep, &tracepb.Header{Edge: "e", Life: 77, Products: []string{"ask", "pay"}, Wall: began, Start: 1e12},
+			settings, zap.NewNop())
+		if err != nil {
+			os.Exit(3)
+		}
+		go playForever(rec)
+		time.Sleep(time.Minute) // killed before that
+		os.Exit(4)
+	}
+	os.Exit(m.Run())
+}
+
+// playForever records txns and says on the standard output, by itself, how many are in the recorder's hands.
+func playForever(rec *Recorder) {
+	now := logic.Nanos(1e12)
+	rec.Start(now, 1)
+	for i := uint64(1); ; i++ {
+		now += 1000 * logic.Nanos(i%7)
+		x := logic.Txn{ID: logic.TxnID(i), Key: logic.KeyID(i | 1), Expiry: now + logic.Second}
+		for rec.room() <= reserve {
+			time.Sleep(time.Millisecond) // the writer is behind
+		}
+		rec.Take(now, &x, i, 0, 0)
+		rec.Settle()
+		os.Stdout.Write(binary.LittleEndian.AppendUint64(nil, i))
+	}
+}
+
+// A process is killed at full speed: every txn that it had handed to the recorder is found, by a reader beside the tail and
+// after the next start of an edge in the same folder.
+func TestKilledAtFullSpeed(t *testing.T) {
+	for try := 0; try < 3; try++ {
+		parent := t.TempDir()
+		dir := filepath.Join(parent, "trace")
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "TRACE_KILLED="+dir)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var said bytes.Buffer
+		var group sync.WaitGroup
+		enough := make(chan struct{})
+		group.Go(func() {
+			io.CopyN(&said, out, int64(8*(3000+try*20000)))
+			close(enough)
+			io.Copy(&said, out)
+		})
+		<-enough
+		cmd.Process.Kill()
+		group.Wait()
+		cmd.Wait()
+		n := uint64(said.Len() / 8)
+		if n == 0 {
+			t.Fatal("the process recorded nothing")
+		}
+		was := TailsIn
+		TailsIn = parent
+		count := func() (serials []uint64) {
+			var paths []string
+			if found, _ := filepath.Glob(filepath.Join(dir, "*"+Suffix)); len(found) == 0 {
+				paths, _ = filepath.Glob(filepath.Join(parent, "*"+TailSuffix)) // no segment was begun: the tail has it all
+			} else {
+				paths = []string{dir}
+			}
+			lives, err := Lives(paths)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, l := range lives {
+				if l.ID != 77 {
+					continue
+				}
+				err = l.Each(func(r *Record, _ []string) bool {
+					if r.Kind == tracepb.Kind_TAKE {
+						serials = append(serials, r.Serial)
+					}
+					return true
+				}, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			return serials
+		}
+		before := count()
+		if uint64(len(before)) < n || before[len(before)-1] != uint64(len(before)) {
+			t.Errorf("%d txns were handed over, %d are found", n, len(before))
+		}
+		rec, err := NewTailed(Disk(dir), parent, keep, &tracepb.Header{Edge: "e", Life: 78}, settings, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec.Close(1e12)
+		if left, _ := filepath.Glob(filepath.Join(parent, "*"+TailSuffix)); len(left) > 0 {
+			t.Errorf("tails are left: %v", left)
+		}
+		if after := count(); !reflect.DeepEqual(before, after) {
+			t.Errorf("%d txns before the next start, %d after it", len(before), len(after))
+		}
+		TailsIn = was
+	}
+}
+
+// What one process records is not touched by the start of another beside it, and can be read while it lives.
+func TestTailOfALivingProcess(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	parent := t.TempDir()
+	was := TailsIn
+	TailsIn = parent
+	defer func() { TailsIn = was }()
+	dir := filepath.Join(parent, "trace")
+	h := func(life uint64) *tracepb.Header {
+		return &tracepb.Header{Edge: "e", Life: life, Products: []string{"ask", "pay"}}
+	}
+	first, err := NewTailed(Disk(dir), parent, keep, h(1), settings, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := logic.Txn{ID: 1, Key: 5, Expiry: 2e9}
+	first.Start(1e9, 1)
+	first.Take(1e9, &x, 1, 0, 0)
+	first.Settle()
+	second, err := NewTailed(Disk(dir), parent, keep, h(2), settings, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Close(1e9)
+	lives, err := Lives([]string{tailPath(parent, 1)})
+	if err != nil || len(lives) != 1 {
+		t.Fatalf("%d lives in the tail, %v", len(lives), err)
+	}
+	if found, err := Follow(lives, Query{Sentry: -1, Key: 5}, nil); err != nil || len(found) != 1 {
+		t.Errorf("%d txns in the tail, %v", len(found), err)
+	}
+	first.Close(2e9)
+	if lives, err = Lives([]string{dir}); err != nil || len(lives) != 2 {
+		t.Errorf("%d lives, %v", len(lives), err)
+	}
+}
+
+// Anything may stand where tails are: it is passed over, and neither read at length nor removed.
+func TestStrangeTails(t *testing.T) {
+	whole := make([]byte, tailHead+buffers*slotSize)
+	copy(whole, tailMarker[:])
+	slot := append([]byte(nil), whole...)
+	binary.LittleEndian.PutUint64(slot[tailHead:], 1)
+	binary.LittleEndian.PutUint64(slot[tailHead+16:], 1<<62)
+	broken := append([]byte(nil), whole...)
+	binary.LittleEndian.PutUint64(broken[tailHead:], 1)
+	binary.LittleEndian.PutUint64(broken[tailHead+16:], 100)
+	for i := range 100 {
+		broken[tailHead+slotHead+i] = 0xff
+	}
+	huge := append([]byte(nil), whole...)
+	binary.LittleEndian.PutUint32(huge[8:], 1<<31)
+	for _, c := range []struct {
+		name string
+		data []byte
+		want error
+	}{{"empty", nil, ErrDamaged}, {"text", []byte(strings.Repeat("x", 5000)), ErrDamaged}, {"a slot that claims to be huge", slot, nil},
+		{"records that are none", broken, ErrRecord}, {"a header that claims to be huge", huge, ErrNoTrace}} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			path := tailPath(dir, 5)
+			if err := os.WriteFile(path, c.data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			f, alive, err := openTail(path)
+			if !errors.Is(err, c.want) || alive {
+				t.Errorf("it reads as %v, %v", f, err)
+			}
+			rec, err := NewTailed(Disk(filepath.Join(dir, "trace")), dir, keep, &tracepb.Header{Edge: "e", Life: 6}, settings, zap.NewNop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			rec.Close(1e9)
+			if _, err := os.Stat(path); err != nil {
+				t.Errorf("it was removed: %v", err)
+			}
+		})
+	}
+}
