--- a/cmd/dunegrade/trace.go
+++ b/cmd/dunegrade/trace.go
@@ -132,6 +132,14 @@
 type replayCmd struct {
 	Paths []string `arg:"" help:"Files or folders." type:"path"`
 	With  string   `help:"An edge's settings file: show what it would have decided differently." type:"path"`
+	JSON  bool     `help:"Print JSON, a line a life."`
+}
+
+func (*replayCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace replay state/trace
+  dunegrade trace replay --with tighter.sexp state/trace`
 }
 
 func (c *replayCmd) Run() error {
@@ -140,8 +148,9 @@
 		return err
 	}
 	if c.With != "" {
-		return whatIf(all, c.With)
+		return whatIf(all, c.With, c.JSON)
 	}
+	enc := json.NewEncoder(os.Stdout)
 	differ, events, actions := 0, 0, 0
 	began := time.Now()
 	for _, l := range all {
@@ -151,6 +160,24 @@
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		events, actions = events+r.Events, actions+r.Actions
+		if c.JSON {
+			why := ""
+			if err != nil {
+				why = err.Error()
+			}
+			if r.Differs != "" || err != nil {
+				differ++
+			}
+			if err := enc.Encode(struct {
+				Edge, Life string
+				Sentry     uint32
+				Why        string `json:",omitempty"`
+				*trace.Replayed
+			}{l.Edge, fmt.Sprintf("%016x", l.ID), l.Sentry, why, r}); err != nil {
+				return err
+			}
+			continue
+		}
 		if r.OtherVersion {
 			fmt.Printf("%s: recorded under another version of the decisions\n", name)
 		}
@@ -165,7 +192,9 @@
 			fmt.Printf("%s: equal: %d txns, %d events, %d actions\n", name, r.Txns, r.Events, r.Actions)
 		}
 	}
-	fmt.Printf("%d events and %d actions in %v\n", events, actions, time.Since(began).Round(time.Millisecond))
+	if !c.JSON {
+		fmt.Printf("%d events and %d actions in %v\n", events, actions, time.Since(began).Round(time.Millisecond))
+	}
 	if differ > 0 {
 		return fmt.Errorf("%d of %d lives differ or end early", differ, len(all))
 	}
@@ -173,7 +202,7 @@
 }
 
 // whatIf tells what other settings would have decided on the same events.
-func whatIf(all []*trace.Life, path string) error {
+func whatIf(all []*trace.Life, path string, asJSON bool) error {
 	plan, err := config.ReadEdge(path)
 	if err != nil {
 		return unusable{err}
@@ -188,6 +217,12 @@
 		if err != nil {
 			return fmt.Errorf("%s, sentry %d: %w", l.Edge, l.Sentry, err)
 		}
+		if asJSON {
+			if err := json.NewEncoder(os.Stdout).Encode(d); err != nil {
+				return err
+			}
+			continue
+		}
 		fmt.Printf("%s, sentry %d: %d of %d txns are sent, declined or voided otherwise\n", l.Edge, l.Sentry, d.Differ, d.Txns)
 		kinds := make([]string, 0, len(d.Sums))
 		for k := range d.Sums {
@@ -267,9 +302,17 @@
 	Product string    `help:"Of this product."`
 	Worker  string    `help:"With a submission to this worker."`
 	Build   int64     `help:"With a submission to this build."`
+	JSON    bool      `help:"Print JSON, a line a file."`
 	End     string    `help:"That ended so: settled, declined, voided, left, or cut where no end was recorded." enum:",settled,declined,voided,left,cut" default:""`
 }
 
+func (*cutCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace cut -o declined --end declined --product booking state/trace
+  dunegrade trace cut -o minute --from 2026-12-01T16:40:00Z --till 2026-12-01T16:41:00Z state/trace`
+}
+
 func (c *cutCmd) Run() error {
 	all, err := lives(c.Paths)
 	if err != nil {
@@ -302,7 +345,17 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%s: %d txns\n", path, n)
+		if c.JSON {
+			err = json.NewEncoder(os.Stdout).Encode(struct {
+				Path string
+				Txns int
+			}{path, n})
+		} else {
+			_, err = fmt.Printf("%s: %d txns\n", path, n)
+		}
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -310,9 +363,17 @@
 type anonymiseCmd struct {
 	Paths  []string `arg:"" help:"Files or folders." type:"path"`
 	O      string   `short:"o" required:"" help:"Folder of the files that are written." type:"path"`
+	JSON   bool     `help:"Print JSON, a line a file."`
 	Secret string   `required:"" help:"A file of 16 bytes or more that only its owner may read. Files made with one secret can be joined by key." type:"path"`
 }
 
+func (*anonymiseCmd) Help() string {
+	return `Examples:
+
+  head -c 32 /dev/urandom > secret && chmod 600 secret
+  dunegrade trace anonymise --secret secret -o out state/trace`
+}
+
 func (c *anonymiseCmd) Run() error {
 	secret, err := trace.ReadSecret(c.Secret)
 	if err != nil {
@@ -340,7 +401,14 @@
 			os.Remove(path)
 			return err
 		}
-		fmt.Println(path)
+		if c.JSON {
+			err = json.NewEncoder(os.Stdout).Encode(struct{ Path string }{path})
+		} else {
+			_, err = fmt.Println(path)
+		}
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -351,6 +419,13 @@
 	JSON  bool     `help:"Print JSON."`
 }
 
+func (*mergeCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace merge edge-0/trace edge-1/trace
+  dunegrade trace merge -o all.dgt edge-0/trace edge-1/trace && dunegrade trace follow order-2291 all.dgt`
+}
+
 func (c *mergeCmd) Run() error {
 	all, err := lives(c.Paths)
 	if err != nil {
@@ -402,7 +477,7 @@
 	Rules bool     `help:"Hold the five rules against them, all files in one order."`
 	With  string   `help:"With --rules: against an edge's settings file in place of the settings recorded." type:"path"`
 	Cores float64  `help:"With --rules: cores of a worker, for the rule on cold ones."`
-	JSON  bool     `help:"With --rules: print JSON."`
+	JSON  bool     `help:"Print JSON."`
 }
 
 // rules holds the rules against lives.
@@ -432,6 +507,13 @@
 	return nil
 }
 
+func (*verifyCmd) Help() string {
+	return `Examples:
+
+  dunegrade trace verify state/trace
+  dunegrade trace verify --rules --cores 2 edge-0/trace edge-1/trace`
+}
+
 func (c *verifyCmd) Run() error {
 	all, err := lives(c.Paths)
 	if err != nil {
@@ -446,6 +528,10 @@
 		ended := false
 		err := l.Each(func(r *trace.Record, _ []string) bool {
 			records++
+			if r.Kind == tracepb.Kind_BACK {
+				last = r.At - int64(r.Span) // whole txns are written when they have ended
+				return true
+			}
 			if r.At < last {
 				back++
 			}
@@ -463,7 +549,20 @@
 		if !ended {
 			how = "it was cut off"
 		}
-		fmt.Printf("%s, sentry %d, life %016x: %d segments, %d records, %d txns not recorded, %s\n", l.Edge, l.Sentry, l.ID, len(l.Paths), records, gaps, how)
+		if c.JSON {
+			if err := json.NewEncoder(os.Stdout).Encode(struct {
+				Edge, Life        string
+				Sentry            uint32
+				Segments, Records int
+				Missing           uint64
+				Ended             bool
+				Backwards         int
+			}{l.Edge, fmt.Sprintf("%016x", l.ID), l.Sentry, len(l.Paths), records, gaps, ended, back}); err != nil {
+				return err
+			}
+		} else {
+			fmt.Printf("%s, sentry %d, life %016x: %d segments, %d records, %d txns not recorded, %s\n", l.Edge, l.Sentry, l.ID, len(l.Paths), records, gaps, how)
+		}
 		bad += back
 	}
 	if bad > 0 {
