--- a/config/edge.go
+++ b/config/edge.go
@@ -184,7 +184,9 @@
 	e.Trace = Trace{Folder: t.Text("folder", folder), SegmentBytes: t.Size("segment", 64<<20, 64<<10, 1<<40),
 		SegmentAge: t.Span("age", 10*time.Minute, time.Second, day), TotalBytes: t.Size("total", 1<<30, 1<<20, 1<<50)}
 	e.Trace.Level = t.OneOf("level", "whole", "whole", "sampled", "decisions")
-	e.Trace.Tail = t.Text("tail", "/dev/shm")
+	if e.Trace.Tail = t.Text("tail", "/dev/shm"); e.Trace.Tail == "none" {
+		e.Trace.Tail = ""
+	}
 	e.Trace.OneIn = uint32(t.Int("one-in", 100, 1, 1<<30))
 	if s := t.Sub("one-in"); s != nil && e.Trace.Level != "sampled" {
 		s.Fault("(one-in ...) at level "+e.Trace.Level, "it at level sampled only")
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -305,12 +305,17 @@
 	k.cur = nil
 }
 
-// Flush ships a block that has waited for a second, so that a crash costs no more. Call it on each beat.
+// Flush ships a block that has waited for a second, so that a crash costs no more, or, where a tail keeps it over a
+// crash, for ten: larger blocks pack better. Call it on each beat.
 func (k *Recorder) Flush(now logic.Nanos) {
 	if k.hold != nil {
 		k.hold.tell(k, now)
 	}
-	if k.cur != nil && len(k.cur.records) > 0 && int64(now)-k.cur.info.First > flushAge {
+	age := flushAge
+	if k.tail != nil {
+		age *= 10
+	}
+	if k.cur != nil && len(k.cur.records) > 0 && int64(now)-k.cur.info.First > age {
 		k.ship()
 	}
 }
