--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,6 @@
 	quietTimes, hedgeTimes, hedgeShare, againShare = 5.0, 3.0, 0.06, 0.25
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
 	crossTimes                                     = 15.0
-	looks                                          = 24 // workers that a txn is weighed among
 	// Txns a worker may hold, of few sentries: at the least, at first; share of answers that may take two
 	// thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
 	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
@@ -100,12 +99,9 @@
 
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
-	s.trials, s.bases, s.rest, s.warming = s.trials[:0], s.bases[:0], s.rest[:0], s.warming[:0]
+	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
 	up, newest, able, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range s.order {
-		if s.ramp(w) < 1 {
-			s.warming = append(s.warming, w)
-		}
 		if w.State != Up {
 			continue
 		}
@@ -138,8 +134,9 @@
 	}
 	s.tiltTrial = min(trial/all, s.capNow())
 	// The baseline: as many of the newest earlier-build workers, those of the trial's kinds of machine first.
-	s.noteKinds(s.trials)
-	like := func(w *worker) float64 { return bit(s.fit(w) && slices.Contains(s.kinds, w.Kind)) }
+	like := func(w *worker) float64 {
+		return bit(s.fit(w) && slices.ContainsFunc(s.trials, func(t *worker) bool { return t.Kind == w.Kind }))
+	}
 	slices.SortStableFunc(s.rest, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(like(b), like(a)), cmp.Compare(b.Rel, a.Rel), cmp.Compare(b.Start, a.Start))
 	})
@@ -154,8 +151,6 @@
 		base += s.ramp(w)
 	}
 	s.tiltBase = min(s.tiltTrial, base/all)
-	s.turnsOf(&s.trialTurns, s.trials)
-	s.turnsOf(&s.baseTurns, s.bases)
 }
 
 // ---- The rules, in one place: nothing is sent or answered that these do not allow ----
@@ -216,7 +211,7 @@
 	// random part of one, grows by the even share of what this sentry saw carried, and lapses.
 	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1)
 	half := s.span("rules.fall-after", 0) / 2
-	for _, w := range s.warming {
+	for _, w := range s.order {
 		if r := s.ramp(w); r < 1 {
 			if w.cold < 1 {
 				w.ripeAt = s.now
@@ -262,8 +257,7 @@
 func (s *Sentry) choose(t *txn) (*worker, arm) {
 	takes := func(w *worker) bool { return s.maySend(t, w) }
 	bound := s.bound(t) && len(s.trials) > 0
-	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 ||
-		s.exposure[s.lane(t.Product)] >= 1 && slices.ContainsFunc(s.trials, takes)) {
+	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 || slices.ContainsFunc(s.trials, takes)) {
 		s.credit += s.tiltTrial + s.tiltBase
 		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
 		s.creditBase = min(s.creditBase+s.tiltBase, 2)
@@ -271,7 +265,7 @@
 	if bound {
 		// Danger: keys that the trial has met come on top of its slice and crowd its workers, which then look slow.
 		// So they use up the slice, and count as what they are, trial outcomes.
-		w := s.rotate(&s.trialTurns, t)
+		w := s.rotate(s.trials, t)
 		if w == nil {
 			w = s.soonest(s.trials, t)
 		}
@@ -292,11 +286,11 @@
 			toTrial = false
 		}
 		if toTrial && s.creditTrial > 0 {
-			if w := s.rotate(&s.trialTurns, t); w != nil {
+			if w := s.rotate(s.trials, t); w != nil {
 				s.creditTrial--
 				return w, trialArm
 			}
-		} else if w := s.rotate(&s.baseTurns, t); w != nil {
+		} else if w := s.rotate(s.bases, t); w != nil {
 			s.creditBase--
 			return w, baseArm
 		}
@@ -321,49 +315,32 @@
 // near tells whether w is as near as the slowest of the own zone.
 func (s *Sentry) near(w *worker) bool { return s.fit(w) && w.place.slow*s.crossing(w) <= s.home }
 
-// turnsOf puts a side's workers into the order of their turns, a cold one's coming up less often, among those as
-// near as the own zone. Who stands there is looked at once a beat: each txn only walks on from the front.
+// rotate picks the next worker of a side in turn, a cold one less often, among those as near as the own zone.
 // Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; what cold
 // workers may not take would crowd the warm ones. So nobody is picked a round before its turn.
-func (s *Sentry) turnsOf(r *turns, side []*worker) {
+func (s *Sentry) rotate(side []*worker, t *txn) *worker {
 	near, sum := slices.ContainsFunc(side, s.near), 0.0
-	for _, w := range r.line { // who leaves the side gets no more turns
-		w.turn = min(w.turn+s.ramp(w)*float64(r.calls-w.turned), 2*r.sum)
-	}
+	takes := func(w *worker) bool { return s.fit(w) && (!near || s.near(w)) }
 	for _, w := range side {
-		sum += s.ramp(w) * bit(s.fit(w) && (!near || s.near(w)))
+		sum += s.ramp(w) * bit(takes(w))
 	}
-	line := r.line[:0]
+	var best *worker
 	for _, w := range side {
-		if !s.fit(w) || near && !s.near(w) {
+		if !takes(w) {
 			continue
 		}
 		if !w.due { // a first turn at random, or many sentries would all begin with the same
 			w.due, w.turn = true, s.rng.Float64()*sum
 		}
-		w.turned = r.calls
-		line = append(line, w)
-	}
-	slices.SortStableFunc(line, func(a, b *worker) int { return cmp.Compare(b.turn, a.turn) })
-	r.line, r.sum = line, sum
-}
-
-// rotate picks the next worker of a side in turn.
-func (s *Sentry) rotate(r *turns, t *txn) *worker {
-	r.calls++
-	for i, w := range r.line {
-		w.turn, w.turned = min(w.turn+s.ramp(w)*float64(r.calls-w.turned), 2*r.sum), r.calls
-		if w.turn < 0 && s.ramp(w) == 1 {
-			return nil // so are those behind it
-		}
-		if w.turn >= 0 && s.fit(w) && s.room(w, t) && s.maySend(t, w) {
-			w.turn -= r.sum
-			copy(r.line[i:], r.line[i+1:])
-			r.line[len(r.line)-1] = w
-			return w
+		w.turn = min(w.turn+s.ramp(w), 2*sum)
+		if w.turn >= 0 && (best == nil || w.turn > best.turn) && s.room(w, t) && s.maySend(t, w) {
+			best = w
 		}
 	}
-	return nil
+	if best != nil {
+		best.turn -= sum
+	}
+	return best
 }
 
 // room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
@@ -385,21 +362,11 @@
 // soonest picks the worker that should answer first, as far as own submissions and reports tell.
 func (s *Sentry) soonest(from []*worker, t *txn) *worker {
 	var best *worker
-	least, looked := math.Inf(1), 0
-	if s.part < 1 && float64(s.held) >= s.allowed {
-		return nil // there is room nowhere
-	}
-	for i := 0; i < len(from) && looked < looks && i < 8*looks; i++ {
-		// A large fleet is not looked through for each txn: the best of some by chance nearly is the best.
-		if len(from) > looks {
-			k := i + s.rng.Intn(len(from)-i)
-			from[i], from[k] = from[k], from[i]
-		}
-		w := from[i]
+	least := math.Inf(1)
+	for _, w := range from {
 		if !s.maySend(t, w) || !s.room(w, t) {
 			continue
 		}
-		looked++
 		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * s.crossing(w)
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,20 +63,12 @@
 	due       bool    // its turn has begun
 	group     int     // of workers, the same for all sentries
 	times     spread  // logs of times over the typical one, of late
-	turn      float64 // its place in the rotation, as of so many calls
-	turned    int
+	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
 	ripeAt    Nanos // since when that is one or more
 }
 
-// turns is a side of the pair in the order of its workers' turns.
-type turns struct {
-	line  []*worker
-	calls int     // of the rotation
-	sum   float64 // of what its workers can do: a round
-}
-
 // where is a zone and a kind of machine; place, what workers there take over the typical time: smoothed, and
 // the smoothed log of that for earlier builds.
 type where struct {
@@ -141,11 +133,7 @@
 	workers             map[WorkerID]*worker
 	order               []*worker // by id
 	trials, bases, rest []*worker
-	warming             []*worker // some of them cold, or were at the last beat
-	trialTurns          turns
-	baseTurns           turns
-	kinds               []KindID // of machines of the trial
-	tiltTrial, tiltBase float64  // what each side of the pair is to get, of all txns
+	tiltTrial, tiltBase float64 // what each side of the pair is to get, of all txns
 	credit              float64
 	creditTrial         float64
 	creditBase          float64
@@ -461,16 +449,6 @@
 	}
 }
 
-// noteKinds notes the kinds of machines of some workers.
-func (s *Sentry) noteKinds(of []*worker) {
-	s.kinds = s.kinds[:0]
-	for _, w := range of {
-		if !slices.Contains(s.kinds, w.Kind) {
-			s.kinds = append(s.kinds, w.Kind)
-		}
-	}
-}
-
 // slowestAtHome notes the slowest place in the own zone.
 func (s *Sentry) slowestAtHome() {
 	s.home = 0
