Traces: blocks tell their products, kinds, workers and builds; a cut opens what may fit

A block's description had times, serials and a filter of keys, so that a cut by product or time read the whole file, and the index lacked what the format was to have.

Blocks tell the products and kinds in them, the workers named (64 at most) and their builds; cut passes over blocks that cannot hold the taking of what is asked for.

--- a/trace/cut.go
+++ b/trace/cut.go
@@ -67,6 +67,27 @@
 	return len(fit), p.close()
 }
 
+// may tells from the index whether a block can hold the taking of a txn that fits, or a list.
+func (f *Filter) may(l *Life, q Query, file *File, i int) bool {
+	b := file.Blocks[i].Block
+	if b.Kinds == 0 || b.Kinds&(1<<tracepb.Kind_LIST) != 0 {
+		return true // made before such things were told, or news of builds
+	}
+	shift := l.Headers[0].Wall - l.Headers[0].Start
+	first := b.First
+	if b.Earliest != 0 {
+		first = b.Earliest
+	}
+	product := uint64(0)
+	for k, name := range l.Headers[0].Products {
+		if name == f.Product {
+			product = 1 << min(k, 63)
+		}
+	}
+	return b.Kinds&(1<<tracepb.Kind_TAKE) != 0 && (f.From == 0 || b.Last+shift >= f.From) && (f.Till == 0 || first+shift <= f.Till) &&
+		(f.Product == "" || b.Products&product != 0) && (f.Query == nil || q.may(file, i))
+}
+
 // choose finds the serials of the txns that fit.
 func (l *Life) choose(f Filter, hurt func(string, Damage)) (map[uint64]bool, error) {
 	fit, open, builds := map[uint64]bool{}, map[uint64]*chosen{}, map[string]int64{}
@@ -80,7 +101,7 @@
 			fit[c.serial] = true
 		}
 	}
-	err := l.Each(func(r *Record, names []string) bool {
+	err := l.each(func(r *Record, names []string) bool {
 		switch r.Kind {
 		case tracepb.Kind_LIST:
 			var list tracepb.List
@@ -115,7 +136,7 @@
 			delete(open, r.Txn)
 		}
 		return true
-	}, hurt)
+	}, hurt, func(file *File, i int) bool { return len(open) == 0 && !f.may(l, q, file, i) })
 	for _, c := range open {
 		decide(c)
 	}
--- a/trace/file.go
+++ b/trace/file.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"slices"
 
 	"github.com/bits-and-blooms/bloom/v3"
 	"github.com/klauspost/compress/zstd"
@@ -109,8 +110,12 @@
 		at = r.next()
 		earliest = min(earliest, at)
 		info.Records++
+		if r.Kind < 64 {
+			info.Kinds |= 1 << r.Kind
+		}
 		switch r.Kind {
 		case tracepb.Kind_TAKE:
+			info.Products |= 1 << min(r.Product, 63)
 			if r.Serial == 0 {
 				r.Serial = serial + 1
 			}
@@ -128,6 +133,12 @@
 			}
 		case tracepb.Kind_WORKER:
 			info.Workers++
+			if info.Names = append(info.Names, r.Text); info.Workers > namesTold {
+				info.Names = nil
+			}
+			if b := int64(r.Token); b != 0 && !slices.Contains(info.Builds, b) {
+				info.Builds = append(info.Builds, b)
+			}
 		}
 	}
 	info.Last = max(at, first)
--- a/trace/hold.go
+++ b/trace/hold.go
@@ -162,7 +162,7 @@
 	k.rec = Record{Kind: tracepb.Kind_TAKE, At: x.at, Txn: id, Serial: x.serial, Product: uint32(x.txn.Product), Customer: uint32(x.txn.Customer),
 		Key: uint64(x.txn.Key), Cost: uint64(x.txn.Cost), Repeat: x.txn.Repeat, Patience: uint64(int64(x.txn.Expiry) - x.at), TraceID: x.trace}
 	k.put()
-	k.cur.noteTake(x.serial, uint64(x.txn.Key), x.trace)
+	k.cur.noteTake(x.serial, uint64(x.txn.Key), x.trace, uint64(x.txn.Product))
 	for i := range x.steps {
 		s := &x.steps[i]
 		n := uint32(0)
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -237,7 +238,9 @@
 	k.cur, k.last, k.serial = b, int64(now), 0
 	k.number++
 	b.records, b.keys, b.taken, b.since = b.records[:0], b.keys[:0], 0, int64(now)
+	names, builds := b.info.Names[:0], b.info.Builds[:0]
 	b.info.Reset()
+	b.info.Names, b.info.Builds = names, builds
 	k.blocks++
 	b.info.First, b.info.Number = int64(now), k.blocks
 	b.wall = time.Now().UnixNano()
@@ -275,6 +278,7 @@
 	k.cur.records = k.rec.Append(k.cur.records, k.last)
 	k.cur.grow()
 	k.cur.info.Records++
+	k.cur.info.Kinds |= kindBit(k.rec.Kind)
 	k.last = k.rec.At
 }
 
@@ -285,10 +289,13 @@
 	return putSpan(b, tagAfter, uint64(now-k.last)), at
 }
 
+func kindBit(k Kind) uint64 { return 1 << (uint64(k) & 63) * (1 - uint64(k)>>6) }
+
 func (k *Recorder) close(b []byte, at int, now int64) {
 	k.cur.records = length(b, at)
 	k.cur.grow()
 	k.cur.info.Records++
+	k.cur.info.Kinds |= kindBit(Kind(k.cur.records[at+3]))
 	k.last = now
 }
 
@@ -330,6 +337,7 @@
 	if n.block != k.number {
 		k.cur.info.Workers++
 		n.number, n.block = k.cur.info.Workers, k.number
+		k.cur.noteWorker(string(id), int64(n.build))
 		k.rec = Record{Kind: tracepb.Kind_WORKER, At: int64(now), Worker: n.number, Text: string(id), Token: n.build}
 		k.put()
 	}
@@ -471,12 +479,13 @@
 	}
 	k.close(b, at, now)
 	k.serial = t.serial
-	k.cur.noteTake(t.serial, uint64(t.txn.Key), t.trace)
+	k.cur.noteTake(t.serial, uint64(t.txn.Key), t.trace, uint64(t.txn.Product))
 }
 
 // noteTake adds a txn to what the block is known to hold.
-func (b *block) noteTake(serial, key uint64, id [2]uint64) {
+func (b *block) noteTake(serial, key uint64, id [2]uint64, product uint64) {
 	b.taken++
+	b.info.Products |= 1 << min(product, 63)
 	if b.info.FirstSerial == 0 || serial < b.info.FirstSerial {
 		b.info.FirstSerial = serial
 	}
@@ -489,6 +498,22 @@
 	}
 }
 
+// namesTold is how many workers' names a block's description holds; where there are more, none: it would outgrow the
+// block.
+const namesTold = 64
+
+// noteWorker adds a worker and its build.
+func (b *block) noteWorker(id string, build int64) {
+	if b.info.Workers <= namesTold {
+		b.info.Names = append(b.info.Names, id)
+	} else {
+		b.info.Names = b.info.Names[:0]
+	}
+	if build != 0 && !slices.Contains(b.info.Builds, build) {
+		b.info.Builds = append(b.info.Builds, build)
+	}
+}
+
 // Outcome records the end of a submission, with the status that the client was sent, 0 if this did not answer it.
 func (k *Recorder) Outcome(now logic.Nanos, o *logic.Outcome, status int) {
 	if k.hold != nil {
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -170,6 +170,11 @@
 // Each gives every record of a life, in order. Damage found on the way is given to hurt, if it is not nil, and is an error
 // otherwise.
 func (l *Life) Each(do func(r *Record, names []string) bool, hurt func(path string, d Damage)) error {
+	return l.each(do, hurt, nil)
+}
+
+// each passes over the blocks that pass says hold nothing of interest.
+func (l *Life) each(do func(r *Record, names []string) bool, hurt func(path string, d Damage), pass func(f *File, i int) bool) error {
 	number := uint64(0)
 	for i, path := range l.Paths {
 		if i > 0 && l.Headers[i].Segment != l.Headers[i-1].Segment+1 {
@@ -179,7 +184,7 @@
 			}
 			hurt(path, d)
 		}
-		more, err := l.eachOf(path, &number, do, hurt)
+		more, err := l.eachOf(path, &number, do, hurt, pass)
 		if err != nil || !more {
 			return err
 		}
@@ -187,7 +192,8 @@
 	return nil
 }
 
-func (l *Life) eachOf(path string, number *uint64, do func(r *Record, names []string) bool, hurt func(path string, d Damage)) (more bool, err error) {
+func (l *Life) eachOf(path string, number *uint64, do func(r *Record, names []string) bool, hurt func(path string, d Damage),
+	pass func(f *File, i int) bool) (more bool, err error) {
 	f, done, err := OpenPath(path)
 	if err != nil {
 		return false, err
@@ -205,7 +211,7 @@
 	}
 	more = true
 	for i := range f.Blocks {
-		if f.again(i, number) {
+		if f.again(i, number) || pass != nil && pass(f, i) {
 			continue
 		}
 		err := f.Read(i, func(r *Record, names []string) bool {
--- a/trace/tools_test.go
+++ b/trace/tools_test.go
@@ -600,3 +600,62 @@
 		t.Errorf("a life without its start replays: %v", err)
 	}
 }
+
+// A cut by product, time or key opens only the blocks that may hold what is asked for; what it finds is the same.
+func TestCutPassesOverBlocks(t *testing.T) {
+	dir := t.TempDir()
+	rec, err := NewRecorder(Disk(dir), keep, &tracepb.Header{Edge: "e", Life: 7, Wall: began, Start: began, Products: []string{"ask", "pay"}}, settings, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := logic.Nanos(began)
+	rec.Start(now, 1)
+	for i := 1; i <= 20000; i++ {
+		now += logic.Millisecond
+		x := logic.Txn{ID: logic.TxnID(i), Key: logic.KeyID(i)*2 + 1, Expiry: now + logic.Second}
+		if i > 15000 && i < 15010 {
+			x.Product = 1
+		}
+		for rec.room() <= reserve {
+			time.Sleep(time.Millisecond) // the writer is behind
+		}
+		rec.Take(now, &x, uint64(i), 0, 0)
+		rec.Submit(now, x.ID, logic.WorkerID(fmt.Sprint("w", i%3)), 0)
+		rec.Outcome(now, &logic.Outcome{Txn: x.ID, Over: true}, 200)
+	}
+	rec.Close(now)
+	lives, err := Lives([]string{dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := lives[0]
+	wall := l.Headers[0].Wall
+	for _, c := range []struct {
+		name string
+		f    Filter
+		want int
+	}{{"product", Filter{Product: "pay"}, 9}, {"time", Filter{From: wall + 5e9, Till: wall + 6e9}, 1001}, {"key", Filter{Query: &Query{Sentry: -1, Key: 777*2 + 1}}, 1},
+		{"worker and product", Filter{Product: "pay", Worker: "w0"}, 3}} {
+		t.Run(c.name, func(t *testing.T) {
+			n, err := Cut(l, c.f, io.Discard, nil)
+			if err != nil || n != c.want {
+				t.Errorf("%d txns of %d, %v", n, c.want, err)
+			}
+			q, opened, all := Query{}, 0, 0
+			if c.f.Query != nil {
+				q = *c.f.Query
+			}
+			err = l.each(func(*Record, []string) bool { return true }, nil, func(f *File, i int) bool {
+				all++
+				may := c.f.may(l, q, f, i)
+				if may {
+					opened++
+				}
+				return !may
+			})
+			if err != nil || opened == 0 || 2*opened > all {
+				t.Errorf("%d of %d blocks are opened, %v", opened, all, err)
+			}
+		})
+	}
+}
