lab load: an open-loop load on one HTTP target, or on two in turn

lab load sends to any HTTP target at rates in steps or a ramp, counts from when a txn was due, gives up what its client would have given up, and holds two targets against each other slice by slice with the interval of their ratio; tables and charts.

--- a/cmd/dunegrade/main.go
+++ b/cmd/dunegrade/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -235,6 +236,72 @@
 	return nil
 }
 
+type loadCmd struct {
+	URL     string        `arg:"" help:"The target."`
+	Against string        `help:"A second target, loaded in turn with the first, slice by slice."`
+	Rates   []float64     `help:"Txns a second, a step each." default:"1000"`
+	Ramp    bool          `help:"Go from one rate to the next evenly."`
+	Span    time.Duration `help:"Of each step." default:"10s"`
+	Slice   time.Duration `help:"A target's turn, and the grain of the charts." default:"1s"`
+	Conns   int           `help:"Connections at the most." default:"64"`
+	Method  string        `default:"GET"`
+	Body    int           `help:"Bytes of a request's body."`
+	Timeout time.Duration `help:"After which a txn is given up." default:"5s"`
+	HTML    string        `name:"html" help:"Write a page with charts to this file." type:"path"`
+	JSON    bool          `help:"Print JSON."`
+}
+
+func (*loadCmd) Help() string {
+	return `Times count from when a txn was due, so that a target that stalls is charged for all that it kept waiting.
+
+Examples:
+
+  dunegrade lab load http://127.0.0.1:8080/read --rates 500,1000,2000 --span 10s
+  dunegrade lab load http://127.0.0.1:8080/read --against http://127.0.0.1:8081/read --rates 2000 --span 30s --html load.html`
+}
+
+func (c *loadCmd) Run() error {
+	p := lab.LoadPlan{Targets: []string{c.URL}, Rates: c.Rates, Ramp: c.Ramp, Span: c.Span, Slice: c.Slice, Conns: c.Conns, Method: c.Method, Body: c.Body,
+		Timeout: c.Timeout}
+	if c.Against != "" {
+		p.Targets = append(p.Targets, c.Against)
+	}
+	if err := p.Check(); err != nil {
+		return unusable{err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	slices, err := lab.Load(ctx, p, func(s *lab.LoadSlice) {
+		if !c.JSON {
+			fmt.Fprintf(os.Stderr, "%s: %6.0f asked, %6.0f fine a second, %d refused, %d bad, p99 %d us\n", p.Targets[s.Target], s.Rate, s.PerSecond(), s.Refused, s.Bad,
+				s.Times.ValueAtQuantile(99))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	rows, diffs := lab.SumLoad(p, slices)
+	var text strings.Builder
+	lab.LoadTable(&text, rows, diffs)
+	if c.HTML != "" {
+		page, err := lab.LoadPage(p, slices, text.String())
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.HTML, []byte(page), 0o644); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(struct {
+			Rows        []lab.LoadRow
+			Differences []lab.LoadDifference
+		}{rows, diffs})
+	}
+	fmt.Print(text.String())
+	return nil
+}
+
 type hostileCmd struct {
 	Span time.Duration `help:"Of each attack." default:"6s"`
 	Out  string        `type:"path" default:"found/bench"`
@@ -308,6 +375,7 @@
 			Run     runCmd     `cmd:"" help:"Play a day against real edges and judge it from the sockets."`
 			Compare compareCmd `cmd:"" help:"Play days with several edges side by side, seed by seed, and print a table."`
 			Days    daysCmd    `cmd:"" help:"List the days that come with the program."`
+			Load    loadCmd    `cmd:"" help:"Load an HTTP target, or two in turn, at given rates."`
 			Hostile hostileCmd `cmd:"" help:"Set hostile clients on an edge, beside honest ones."`
 			Import  importCmd  `cmd:"" help:"Turn a day drawn by the bench into one of ours, scaled; lists what cannot be carried over."`
 			Bench   benchCmd   `cmd:"" help:"Measure throughput and added time beside other forwarders, in one run."`
