--- a/lab/bench.go
+++ b/lab/bench.go
@@ -365,7 +365,7 @@
 		return "", err
 	}
 	record := "(trace (on false))"
-	level := map[string]string{"-traced": "(level whole)", "-sampled": "(level sampled) (one-in 100)", "-decisions": "(level decisions)"}[traced]
+	level := map[string]string{"-traced": "(level whole)", "-tailless": "(level whole) (tail none)", "-sampled": "(level sampled) (one-in 100)", "-decisions": "(level decisions)"}[traced]
 	if level != "" {
 		record = fmt.Sprintf("(trace (folder %q) (segment 64MiB) (total 256MiB) %s)", filepath.Join(plan.Out, "trace"+traced), level)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,7 @@
 	s.news.Rel = -1
 	s.wantWatch = s.word("discovery") == "ask"
 	s.part = min(1, few/max(1, s.num("sentries", 1)))
+	s.most = min(int(s.num("allow.submissions", 1)), len(txn{}.subs))
 	s.many = math.Log(max(1, s.num("sentries", 1)/max(1, s.num("release.votes-back", 1))/few))
 	s.hedges, s.agains = 5*s.part, 10*s.part
 	s.emit()
@@ -88,7 +89,7 @@
 				place: s.placeOf(l)})
 			w.slow = w.place.slow
 		}
-		w.Worker = l
+		w.Worker, w.cross = l, s.crossing(l.Zone)
 		s.noticeTrial(l.Rel)
 	}
 	s.arrange()
@@ -99,9 +100,12 @@
 
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
-	s.trials, s.bases, s.rest = s.trials[:0], s.bases[:0], s.rest[:0]
+	s.trials, s.bases, s.rest, s.warming = s.trials[:0], s.bases[:0], s.rest[:0], s.warming[:0]
 	up, newest, able, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range s.order {
+		if s.ramp(w) < 1 {
+			s.warming = append(s.warming, w)
+		}
 		if w.State != Up {
 			continue
 		}
@@ -134,9 +138,8 @@
 	}
 	s.tiltTrial = min(trial/all, s.capNow())
 	// The baseline: as many of the newest earlier-build workers, those of the trial's kinds of machine first.
-	like := func(w *worker) float64 {
-		return bit(s.fit(w) && slices.ContainsFunc(s.trials, func(t *worker) bool { return t.Kind == w.Kind }))
-	}
+	s.noteKinds(s.trials)
+	like := func(w *worker) float64 { return bit(s.fit(w) && slices.Contains(s.kinds, w.Kind)) }
 	slices.SortStableFunc(s.rest, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(like(b), like(a)), cmp.Compare(b.Rel, a.Rel), cmp.Compare(b.Start, a.Start))
 	})
@@ -158,7 +161,7 @@
 // maySend holds all rules on a submission of t to w, at this moment.
 func (s *Sentry) maySend(t *txn, w *worker) bool {
 	p := &s.products[t.Product]
-	if t.has != unanswered || s.now >= t.Expiry || t.n >= min(int(s.num("allow.submissions", 1)), len(t.subs)) {
+	if t.has != unanswered || s.now >= t.Expiry || t.n >= s.most {
 		return false
 	}
 	if w.State != Up || s.ramp(w) < 1 && w.cold < 1 { // the grace of a drain is not used
@@ -211,7 +214,7 @@
 	// random part of one, grows by the even share of what this sentry saw carried, and lapses.
 	even := s.carried / max(1, s.fleet) * s.num("rules.fall-multiple", 1)
 	half := s.span("rules.fall-after", 0) / 2
-	for _, w := range s.order {
+	for _, w := range s.warming {
 		if r := s.ramp(w); r < 1 {
 			if w.cold < 1 {
 				w.ripeAt = s.now
@@ -257,7 +260,8 @@
 func (s *Sentry) choose(t *txn) (*worker, arm) {
 	takes := func(w *worker) bool { return s.maySend(t, w) }
 	bound := s.bound(t) && len(s.trials) > 0
-	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 || slices.ContainsFunc(s.trials, takes)) {
+	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 ||
+		s.exposure[s.lane(t.Product)] >= 1 && slices.ContainsFunc(s.trials, takes)) {
 		s.credit += s.tiltTrial + s.tiltBase
 		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
 		s.creditBase = min(s.creditBase+s.tiltBase, 2)
@@ -305,15 +309,15 @@
 }
 
 // crossing is what a worker's time counts more for standing in another zone.
-func (s *Sentry) crossing(w *worker) float64 {
-	if w.Zone == ZoneID(s.num("zone", -1)) {
+func (s *Sentry) crossing(at ZoneID) float64 {
+	if at == ZoneID(s.num("zone", -1)) {
 		return 1
 	}
 	return 1 + crossTimes*s.num("price.cross-zone", 0)
 }
 
 // near tells whether w is as near as the slowest of the own zone.
-func (s *Sentry) near(w *worker) bool { return s.fit(w) && w.place.slow*s.crossing(w) <= s.home }
+func (s *Sentry) near(w *worker) bool { return s.fit(w) && w.place.slow*w.cross <= s.home }
 
 // rotate picks the next worker of a side in turn, a cold one less often, among those as near as the own zone.
 // Danger: where traffic moves to one zone, its part of the trial would get it all and look slow; what cold
@@ -367,7 +371,7 @@
 		if !s.maySend(t, w) || !s.room(w, t) {
 			continue
 		}
-		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * s.crossing(w)
+		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * w.cross
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
 			// be repeated now and then, the less the seldomer it is met; this also brings back whatever has recovered.
--- a/logic/state.go
+++ b/logic/state.go
@@ -66,7 +66,8 @@
 	turn      float64 // its place in the rotation
 	cold      float64 // submissions that a cold worker may still get
 	coldAt    Nanos
-	ripeAt    Nanos // since when that is one or more
+	ripeAt    Nanos   // since when that is one or more
+	cross     float64 // what its time counts more for standing in another zone
 }
 
 // where is a zone and a kind of machine; place, what workers there take over the typical time: smoothed, and
@@ -133,7 +134,10 @@
 	workers             map[WorkerID]*worker
 	order               []*worker // by id
 	trials, bases, rest []*worker
-	tiltTrial, tiltBase float64 // what each side of the pair is to get, of all txns
+	warming             []*worker // some of them cold, or were at the last beat
+	kinds               []KindID  // of machines of the trial
+	most                int       // submissions of a txn
+	tiltTrial, tiltBase float64   // what each side of the pair is to get, of all txns
 	credit              float64
 	creditTrial         float64
 	creditBase          float64
@@ -403,8 +407,11 @@
 
 // ramp is the part of its capacity that a worker may have by now.
 func (s *Sentry) ramp(w *worker) float64 {
+	if w.Start <= 0 {
+		return 1
+	}
 	cold := s.span("rules.cold", 0)
-	if w.Start <= 0 || cold <= 0 || s.now-w.Start >= cold {
+	if cold <= 0 || s.now-w.Start >= cold {
 		return 1
 	}
 	from := s.num("rules.cold-from", 1)
@@ -449,6 +456,16 @@
 	}
 }
 
+// noteKinds notes the kinds of machines of some workers.
+func (s *Sentry) noteKinds(of []*worker) {
+	s.kinds = s.kinds[:0]
+	for _, w := range of {
+		if !slices.Contains(s.kinds, w.Kind) {
+			s.kinds = append(s.kinds, w.Kind)
+		}
+	}
+}
+
 // slowestAtHome notes the slowest place in the own zone.
 func (s *Sentry) slowestAtHome() {
 	s.home = 0
--- a/trace/cost_test.go
+++ b/trace/cost_test.go
@@ -12,9 +12,12 @@
 )
 
 // BenchmarkTxn is what recording an ordinary txn costs a loop, and with its writer: both show as CPU time.
-func BenchmarkTxn(b *testing.B) {
+func BenchmarkTxn(b *testing.B)       { benchmarkTxn(b, "") }
+func BenchmarkTailedTxn(b *testing.B) { benchmarkTxn(b, TailFolder) }
+
+func benchmarkTxn(b *testing.B, tails string) {
 	dir := b.TempDir()
-	rec, err := NewRecorder(Disk(dir), Keep{SegmentBytes: 64 << 20, SegmentAge: time.Hour, TotalBytes: 1 << 30},
+	rec, err := NewTailed(Disk(dir), tails, Keep{SegmentBytes: 64 << 20, SegmentAge: time.Hour, TotalBytes: 1 << 30},
 		&tracepb.Header{Edge: "e", Life: 7, Products: []string{"ask"}}, settings, zap.NewNop())
 	if err != nil {
 		b.Fatal(err)
