--- a/edge/loop.go
+++ b/edge/loop.go
@@ -78,6 +78,7 @@
 	now    logic.Nanos
 	sentry *logic.Sentry
 	rec    *trace.Recorder // nil: nothing is recorded
+	taking logic.TxnID     // the txn that the module is being handed; 0: none
 	life   uint64          // drawn at the start
 	serial uint64          // of the last txn
 
@@ -351,6 +352,8 @@
 	case expiry, subEnd, connWait:
 		c := l.callOf(logic.TxnID(t.token))
 		return c == nil || t.kind != expiry && c.subs[t.n].state == subOver
+	case remind: // about a txn that is over: the module has nothing to do
+		return t.of != 0 && l.callOf(t.of) == nil
 	}
 	return false
 }
@@ -444,7 +447,9 @@
 		if l.rec != nil {
 			c.traced = l.rec.Take(l.now, &c.in, c.serial, c.traceID[0], c.traceID[1])
 		}
+		l.taking = c.id() // what it wants to be reminded of now is this txn
 		l.sentry.Take(l.now, c.in)
+		l.taking = 0
 	case evOutcome:
 		if e.loaded {
 			l.load = e.load
@@ -486,7 +491,7 @@
 // perform does one thing that the module decided.
 func (l *loop) perform(a act) {
 	if a.kind == actRemind {
-		l.heap.push(timer{at: l.now + a.span, token: a.token, kind: remind})
+		l.heap.push(timer{at: l.now + a.span, token: a.token, kind: remind, of: a.txn})
 		return
 	}
 	c := l.callOf(a.txn)
@@ -538,7 +543,11 @@
 	if l.rec != nil {
 		l.rec.Event(l.now, tracepb.Kind_REMIND, 0, 0, token, uint64(after))
 	}
-	l.acts = append(l.acts, act{kind: actRemind, span: after, token: token})
+	of := l.taking
+	if token == 0 { // the beat is about no txn
+		of = 0
+	}
+	l.acts = append(l.acts, act{kind: actRemind, span: after, token: token, txn: of})
 }
 func (l *loop) Vote(v logic.Verdict, rel logic.RelID, stage int) {
 	if l.rec != nil {
--- a/edge/timers.go
+++ b/edge/timers.go
@@ -19,7 +19,8 @@
 	at    logic.Nanos
 	token uint64 // the module's, or place and generation
 	kind  timerKind
-	n     uint8 // number of the submission
+	n     uint8       // number of the submission
+	of    logic.TxnID // of a reminder: the txn that it is about, if any
 }
 
 // timers is a binary heap by time. Most entries come in order, for which a push costs one comparison.
