--- a/logic/explain.go
+++ b/logic/explain.go
@@ -14,7 +14,7 @@
 		t.subs[i].to = &worker{}
 	}
 	for _, w := range s.order {
-		v := Standing{Worker: w.ID, Rel: w.Rel, Trial: s.onTrial(w.Rel), Open: w.open, Limit: max(w.limit*s.squeeze, usualTimes*s.usual), Slow: w.slow}
+		v := Standing{Worker: w.ID, Rel: w.Rel, Trial: s.onTrial(w.Rel), Open: w.open, Limit: w.limit * s.squeeze, Slow: w.slow}
 		switch {
 		case w.State != Up:
 			v.Against = "not up"
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,8 +45,8 @@
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
 	crossTimes                                     = 15.0
 	// Txns a worker may hold, of few sentries: at the least, at first; share of answers that may take two
-	// thirds of the SLA time; the step; times what was held in good times. First guess of a time, in SLA times.
-	leastOpen, firstOpen, slowShare, limitStep, usualTimes, firstTimes = 1.0, 8.0, 0.08, 0.2, 1.5, 0.2
+	// thirds of the SLA time; the step. First guess of a time, in SLA times.
+	leastOpen, firstOpen, slowShare, limitStep, firstTimes = 1.0, 8.0, 0.08, 0.2, 0.2
 )
 
 // New makes a sentry from the settings, a plain map of names to values.
@@ -350,10 +350,8 @@
 // room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
 // that what could only be late is declined early, whatever the lack comes from; repeats get less of it.
 func (s *Sentry) room(w *worker, t *txn) bool {
-	// Danger: a limit that storms have pushed down stays there where long txns are common. What workers held
-	// while nothing was declined and few answers were slow is allowed at any time.
 	// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
-	limit := max(w.limit*s.squeeze, usualTimes*s.usual) * (1 - 0.2*bit(t.n > 0))
+	limit := w.limit * s.squeeze * (1 - 0.2*bit(t.n > 0))
 	return float64(w.open) < limit && (s.part == 1 || float64(s.held) < s.allowed)
 }
 
@@ -437,7 +435,6 @@
 	t.want.answer = voided
 	s.turned++
 	if t.n == 0 {
-		s.declinedAt = s.now
 		// What is declined would have taken its SLA time at the least; or declines would hide what slows all.
 		s.level += s.heed * (math.Log(float64(s.products[t.Product].sla)/max(s.expected(t), 1)) - s.level)
 	}
@@ -464,7 +461,6 @@
 	case OK:
 		w.bad *= 0.85
 		s.done++
-		s.late += 0.02 * (bit(o.Elapsed > p.sla*2/3) - s.late)
 		if o.Elapsed > p.sla*2/3 {
 			s.widen(w, 1-limitStep*(1-slowShare))
 		} else if float64(w.open) >= w.limit*s.squeeze/2 || float64(s.held) >= s.allowed/2 && s.part < 1 {
@@ -601,13 +597,10 @@
 			}
 		}
 	}
-	if s.now-s.declinedAt > Second && s.late < slowShare && s.fleet > 0 {
-		s.usual += 0.01 * (float64(s.held)/s.fleet - s.usual)
-	}
 	s.allowed, s.squeeze = 0, s.squeeze+forget*(1-s.squeeze)
 	for _, w := range s.order {
 		if w.State == Up && s.fit(w) {
-			s.allowed += max(w.limit*s.squeeze, usualTimes*s.usual) * s.ramp(w)
+			s.allowed += w.limit * s.squeeze * s.ramp(w)
 		}
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
--- a/logic/state.go
+++ b/logic/state.go
@@ -152,8 +152,6 @@
 	places              map[where]*place
 	many                float64 // log of how many times the few there are, for each vote that is needed
 	part                float64 // of what few sentries may each hold
-	usual, late         float64 // txns a worker holds in good times; share of slow answers
-	declinedAt          Nanos
 	squeeze, allowed    float64 // on all limits; what may be held in all
 	held                int
 
