--- a/logic/logic.go
+++ b/logic/logic.go
@@ -361,7 +361,7 @@
 	s.squeeze = min(max(s.squeeze*(1+(by-1)*s.blur*(1-s.part)), 0.1), 2)
 }
 
-// soonest picks the worker that should answer first, as far as own submissions and reports tell.
+// soonest picks the worker that should answer first, as far as own submissions tell.
 func (s *Sentry) soonest(from []*worker, t *txn) *worker {
 	var best *worker
 	least := math.Inf(1)
@@ -369,7 +369,7 @@
 		if !s.maySend(t, w) || !s.room(w, t) {
 			continue
 		}
-		cost := w.slow * (1 + float64(w.open) + w.queue/2) / s.ramp(w) * (1 + 4*w.bad) * w.cross
+		cost := w.slow * (1 + float64(w.open)) / s.ramp(w) * (1 + 4*w.bad) * w.cross
 		if !s.fit(w) {
 			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
 			// be repeated now and then, the less the seldomer it is met; this also brings back whatever has recovered.
@@ -451,9 +451,6 @@
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
-	if o.Load != nil && o.Load.Queue >= 0 {
-		w.queue = o.Load.Queue
-	}
 	if o.Ending == OK || o.Ending == Full || o.Ending == Erred {
 		w.heard, w.silent = s.now, false
 	}
@@ -605,7 +602,6 @@
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
 		w.slow += forget * (w.place.slow - w.slow)
-		w.queue *= 0.93
 	}
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
 	s.seldom = (1 - s.part) * s.fleet / max(s.carried, 0.1) // seconds between meetings, of many sentries
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,7 +51,6 @@
 	place     *place
 	open      int
 	slow, bad float64 // smoothed: time over the typical one, share of faults
-	queue     float64
 	limit     float64 // txns that it may hold of this sentry
 	heard     Nanos
 	nextTry   Nanos
