The module: no caution while an earlier build's worker fails

Change: ailing, its time and the share of faults that set it go; as many of the worst workers are left out as before, always.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,9 +24,8 @@
 	// The sign test: its level, stricter after so many pairs as it looks often; that without the worst workers;
 	// that for a hold under a clock; and that of a lead that stops 'on'.
 	backLevel, manyPairs, spreadLevel, holdLevel, leadLevel = 0.01, 100.0, 0.04, 0.10, 0.25
-	// Pairs before 'back'; part of them kept from beat to beat; younger workers of the pair give no evidence;
-	// how long the failing of an earlier build's workers counts.
-	pairFloor, evidenceKept, warmUpAge, caution = 11.5, 0.9954, 1 * Second, 10 * Second
+	// Pairs before 'back'; part of them kept from beat to beat; younger workers of the pair give no evidence.
+	pairFloor, evidenceKept, warmUpAge = 11.5, 0.9954, 1 * Second
 	// Share of errors that follows a key (half: a customer), and one that a good build may have.
 	followed, errorFloor = 0.6, 0.003
 	// Times: a build this many times slower is no worse; trial times before they count; deviation between like
@@ -663,18 +662,11 @@
 		return
 	}
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
-	// left out as are a fifth of the trial, for a second look; a third, or a lone one, while others ail as well.
-	// Evidence from that time lives on for a while, and so does the caution.
-	trials, bases, erring, fault := s.losses(evidenceKept)
-	if fault > restAbove/2 {
-		s.ailedTill = s.now + caution
-	}
-	s.ailing = s.now < s.ailedTill
+	// left out as are a fifth of the trial, for a second look.
+	trials, bases, erring := s.losses(evidenceKept)
 	s.own.fade(evidenceKept)
 	out := (len(trials) + 4) / 5
-	if s.ailing {
-		out = (len(trials) + 2) / 3
-	} else if len(trials) == 1 {
+	if len(trials) == 1 {
 		out = 0
 	}
 	s.own.leanFavour = s.own.favour - worst(bases, min(max(out, 1), len(bases)-1))
@@ -689,7 +681,7 @@
 	}
 	gathers := s.gather()
 	// Danger: where each sees little, a failing build is released before any sees pairs enough. Errors are rare,
-	// so a few at two workers are told from the usual share; not while machines fail as well.
+	// so a few at two workers are told from the usual share.
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
@@ -697,9 +689,9 @@
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := all.seen >= stakes*next*math.Exp(-s.many/2) || age > 2*s.span("release.bake", 0)+4*Second
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
-	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel && !s.ailing || spread < level)
+	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
-	case failing, slow > slowBack+slowMany*s.many, !s.ailing && fluke < backLevel/few*math.Exp(-s.many),
+	case failing, slow > slowBack+slowMany*s.many, fluke < backLevel/few*math.Exp(-s.many),
 		s.now-s.draggedAt >= dragTime && s.rises > 1, s.now-s.draggedAt >= 3*dragTime:
 		s.wantVote = Back
 	case s.news.Phase == Released:
--- a/logic/state.go
+++ b/logic/state.go
@@ -156,7 +156,6 @@
 
 	news      News
 	newsAt    Nanos
-	ailedTill Nanos // how long failing workers count
 	watched   RelID // the newest build seen on trial
 	trial     RelID // the newest build known
 	exposure  []float64
@@ -169,7 +168,7 @@
 	levelAt, draggedAt    Nanos
 	levels, calms         float64      // outcomes and beats that went into the level and the calm one
 	calmLevel, drag       float64      // the level before the trial; its rise since
-	ailing, lacking       bool         // a worker ails; capacity is missing
+	lacking               bool         // capacity is missing
 	heed                  float64      // weight of a txn in the level
 	warmLevel, stageLevel float64      // the level when last no worker was cold; at the stage's start
 	blame                 [256]float64 // shares of errors by customer and by key
@@ -489,8 +488,8 @@
 }
 
 // losses lists, after fading, the pairs that each worker lost on the trial's side and on the other, and gives
-// the trial's errors without its worst worker and the largest share of faults at an earlier build.
-func (s *Sentry) losses(kept float64) (trials, bases []float64, erring, fault float64) {
+// the trial's errors without its worst worker.
+func (s *Sentry) losses(kept float64) (trials, bases []float64, erring float64) {
 	trials, bases = s.scratch[0][:0], s.scratch[1][:0]
 	most := 0.0
 	for _, w := range s.order {
@@ -499,11 +498,11 @@
 			trials = append(trials, w.against)
 			erring, most = erring+w.fails, max(most, w.fails)
 		} else if w.State == Up {
-			bases, fault = append(bases, w.against), max(fault, w.bad)
+			bases = append(bases, w.against)
 		}
 	}
 	s.scratch = [2][]float64{trials, bases}
-	return trials, bases, erring - most, fault
+	return trials, bases, erring - most
 }
 
 // pool adds to the own evidence what others have told of late.
