--- a/config/edge.go
+++ b/config/edge.go
@@ -364,19 +364,15 @@
 	for i := range shares {
 		m["release.shares."+strconv.Itoa(i)] = shares[i]
 	}
-	m["release.caps.count"], m["release.shares.count"] = float64(len(caps)), float64(len(shares))
 	g.Must("window")
 	span(g, "window", 6*time.Second, hour)
 	num(g, "free", 1, 0, 1e6)
 	span(g, "bake", 3*time.Second, day)
-	span(g, "stage-time", 0, day)
-	span(g, "vote-life", 4*time.Second, day)
 	span(g, "vote-timeout", time.Second, hour)
 	num(g, "votes-back", 1, 0, 1e6)
 	num(g, "votes-per-second", 20, 0.001, 1e6)
 	num(g, "guarded-stages", 0, 0, 100)
 	flag(g, "one-way", false)
-	flag(g, "warm-keys", false)
 	g.Done()
 
 	r := f.Part("rules")
--- a/lab/day.go
+++ b/lab/day.go
@@ -339,7 +339,6 @@
 		return strings.Join(s, " ")
 	}
 	w("  (release (votes %s) (style %s) (counts %s) (caps %s) (shares %s)", d.Votes, d.Style, d.Counts, nums(d.caps()), nums(d.Stages))
-	w("    (stage-time %v)", d.StageFor)
 	w("    (window %v) (free %g) (bake %v) (votes-back %d) (votes-per-second %g) (guarded-stages %d) (one-way %t))", d.Window, d.Free,
 		d.Bake, d.NeedBack, d.VotesPerSecond, d.Guarded, d.OneWay)
 	w("  (rules (cold %v) (cold-from %g) (fall-multiple %g) (fall-after %v) (drain-grace %v)))", time.Duration(d.Kind.Cold),
