--- a/edge/loop.go
+++ b/edge/loop.go
@@ -561,26 +561,6 @@
 	}
 	l.p.source.Refresh()
 }
-func (l *loop) Fetch() {
-	if l.rec != nil {
-		l.rec.Event(l.now, tracepb.Kind_FETCH, 0, 0, 0, 0)
-	}
-	l.p.source.Refresh()
-}
-func (l *loop) Probe(w logic.WorkerID) {
-	if l.rec != nil {
-		l.rec.Worker(l.now, tracepb.Kind_PROBE, w)
-	}
-	l.probe(w)
-}
-func (l *loop) CloseIdle(w logic.WorkerID) {
-	if l.rec != nil {
-		l.rec.Worker(l.now, tracepb.Kind_CLOSE_IDLE, w)
-	}
-	if p := l.pools[w]; p != nil {
-		l.closeIdle(p)
-	}
-}
 func (l *loop) Tell(to int, data []byte) {
 	if l.rec != nil {
 		l.rec.Tell(l.now, to, data)
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -11,7 +11,6 @@
 	"unsafe"
 
 	"github.com/panjf2000/gnet/v2"
-	"go.uber.org/zap"
 
 	"dunegrade/http1"
 	"dunegrade/logic"
@@ -467,26 +466,6 @@
 	return true
 }
 
-// probe asks a worker for its health, beside the loop. The module takes no answer; a failure is logged.
-func (l *loop) probe(id logic.WorkerID) {
-	p := l.pools[id]
-	if p == nil || l.dialing >= l.p.plan.Workers.Dialing {
-		return
-	}
-	l.dialing++
-	l.group.Add(1)
-	go func() {
-		defer l.group.Done()
-		c, err := net.DialTimeout("tcp", p.address, l.p.plan.Workers.ConnectTimeout)
-		if err == nil {
-			c.Close()
-		} else {
-			l.log.Debug("probe failed", zap.String("worker", string(id)), zap.Error(err))
-		}
-		l.post(func() { l.dialing-- })
-	}()
-}
-
 // view looks at bytes as a string for the length of a call.
 func view(b []byte) string { return unsafe.String(unsafe.SliceData(b), len(b)) }
 
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -34,9 +34,6 @@
 func (k *tape) Remind(after Nanos, token uint64)     {}
 func (k *tape) Vote(v Verdict, rel RelID, stage int) { k.put("vote %d %d %d", v, rel, stage) }
 func (k *tape) Watch()                               { k.put("watch") }
-func (k *tape) Fetch()                               { k.put("fetch") }
-func (k *tape) Probe(w WorkerID)                     { k.put("probe %s", w) }
-func (k *tape) CloseIdle(w WorkerID)                 { k.put("close %s", w) }
 func (k *tape) Tell(to int, data []byte)             { k.told = append(k.told[:0], data...); k.put("tell %d", to) }
 func (k *tape) Log(text string)                      {}
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -33,7 +33,6 @@
 	inquiry, ref bool
 	anywhere     bool // a repeat is dropped by all workers
 	byZone       bool
-	revenue      float64
 	typical      float64 // smoothed time of settled submissions, over the expected work where that is told
 	learnt       int     // from how many
 	toTrial      bool    // the toggle: the next pair txn goes to the trial
@@ -154,18 +153,18 @@
 	squeeze, allowed    float64 // on all limits; what may be held in all
 	held                int
 
-	news      News
-	newsAt    Nanos
-	watched   RelID // the newest build seen on trial
-	trial     RelID // the newest build known
-	exposure  []float64
-	refilled  Nanos
-	metTrial  map[KeyID]struct{}
+	news     News
+	newsAt   Nanos
+	watched  RelID // the newest build seen on trial
+	trial    RelID // the newest build known
+	exposure []float64
+	refilled Nanos
+	metTrial map[KeyID]struct{}
 
 	own                   evidence
 	peers                 []evidence // by their number
 	level                 float64    // smoothed log of the times of earlier builds
-	levelAt, draggedAt    Nanos
+	draggedAt             Nanos
 	levels, calms         float64      // outcomes and beats that went into the level and the calm one
 	calmLevel, drag       float64      // the level before the trial; its rise since
 	lacking               bool         // capacity is missing
@@ -225,7 +224,7 @@
 		at := "products." + strconv.Itoa(i) + "."
 		effect, group := s.word(at+"effect"), s.word(at+"group")
 		s.products = append(s.products, product{sla: s.span(at+"sla", Second), memory: s.span(at+"memory", 0),
-			revenue: s.num(at+"revenue", 1), inquiry: effect == "inquiry-like", ref: effect == "referenced",
+			inquiry: effect == "inquiry-like", ref: effect == "referenced",
 			anywhere: group == "all", byZone: group == "zone"})
 	}
 	s.peers = make([]evidence, max(0, int(s.num("sentries", 0))))
--- a/logic/types.go
+++ b/logic/types.go
@@ -148,10 +148,7 @@
 	Void(t TxnID)
 	Remind(after Nanos, token uint64)
 	Vote(v Verdict, rel RelID, stage int)
-	Watch() // changes of the list from now on
-	Fetch() // the whole list, once
-	Probe(w WorkerID)
-	CloseIdle(w WorkerID)
+	Watch()                   // changes of the list from now on
 	Tell(to int, data []byte) // to the sentry of that number, at most 256 bytes
 	Log(text string)
 }
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -293,12 +293,7 @@
 func (p *player) Vote(v logic.Verdict, rel logic.RelID, stage int) {
 	p.put(action{kind: tracepb.Kind_VOTE, number: uint32(v), token: uint64(rel), span: uint64(stage)})
 }
-func (p *player) Watch()                 { p.put(action{kind: tracepb.Kind_WATCH}) }
-func (p *player) Fetch()                 { p.put(action{kind: tracepb.Kind_FETCH}) }
-func (p *player) Probe(w logic.WorkerID) { p.put(action{kind: tracepb.Kind_PROBE, worker: string(w)}) }
-func (p *player) CloseIdle(w logic.WorkerID) {
-	p.put(action{kind: tracepb.Kind_CLOSE_IDLE, worker: string(w)})
-}
+func (p *player) Watch() { p.put(action{kind: tracepb.Kind_WATCH}) }
 func (p *player) Tell(to int, data []byte) {
 	p.put(action{kind: tracepb.Kind_TELL, number: uint32(to), text: string(data)})
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -402,10 +402,7 @@
 func (in *instance) Vote(v logic.Verdict, rel logic.RelID, stage int) {
 	in.act("vote", numText(v), numText(rel), numText(stage))
 }
-func (in *instance) Watch()                     { in.act("watch", "true") }
-func (in *instance) Fetch()                     { in.act("getList") }
-func (in *instance) Probe(w logic.WorkerID)     { in.act("poll", idText(w)) }
-func (in *instance) CloseIdle(w logic.WorkerID) { in.act("closeIdle", idText(w)) }
+func (in *instance) Watch() { in.act("watch", "true") }
 func (in *instance) Tell(to int, data []byte) {
 	in.act("broadcastTo", numText(to), jsonText(base64.StdEncoding.EncodeToString(data)))
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -113,9 +113,6 @@
 		{func(in *instance) { in.Cancel(0xab, 1) }, `["abortAttempt",3,"00000000000000ab",1]`},
 		{func(in *instance) { in.Vote(logic.Back, 41, 2) }, `["vote",3,3,41,2]`},
 		{func(in *instance) { in.Remind(1_000_000, 1<<62) }, `["remind",3,1000,4611686018427387904]`},
-		{func(in *instance) { in.Fetch() }, `["getList",3]`},
-		{func(in *instance) { in.Probe("a:1") }, `["poll",3,"a:1"]`},
-		{func(in *instance) { in.CloseIdle("a:1") }, `["closeIdle",3,"a:1"]`},
 		{func(in *instance) { in.Tell(1, []byte("hi 7")) }, `["broadcastTo",3,1,"aGkgNw=="]`},
 		{func(in *instance) { in.Log("two\nlines") }, `["trace",3,"two\nlines"]`},
 	} {
