--- a/logic/logic.go
+++ b/logic/logic.go
@@ -261,6 +261,7 @@
 	bound := s.bound(t) && len(s.trials) > 0
 	if t.n == 0 && len(s.trials) > 0 && (bound || len(s.bases) == 0 ||
 		s.exposure[s.lane(t.Product)] >= 1 && slices.ContainsFunc(s.trials, takes)) {
+		s.credit += s.tiltTrial + s.tiltBase
 		s.creditTrial = min(s.creditTrial+s.tiltTrial, 2)
 		s.creditBase = min(s.creditBase+s.tiltBase, 2)
 	}
@@ -272,12 +273,13 @@
 			w = s.soonest(s.trials, t)
 		}
 		if w != nil && t.n == 0 {
-			s.creditTrial = max(s.creditTrial-1, -2)
+			s.credit, s.creditTrial = max(s.credit-1, -2), max(s.creditTrial-1, -2)
 			return w, trialArm
 		}
 		return w, noArm
 	}
-	if t.n == 0 && s.creditTrial+s.creditBase >= 1 && len(s.trials) > 0 {
+	if t.n == 0 && s.credit >= 1 && len(s.trials) > 0 {
+		s.credit = min(s.credit-1, 1)
 		p := &s.products[t.Product]
 		toTrial := !p.toTrial
 		p.toTrial = toTrial
--- a/logic/state.go
+++ b/logic/state.go
@@ -136,6 +136,7 @@
 	kinds               []KindID  // of machines of the trial
 	most                int       // submissions of a txn
 	tiltTrial, tiltBase float64   // what each side of the pair is to get, of all txns
+	credit              float64
 	creditTrial         float64
 	creditBase          float64
 	fleet               float64 // workers that usually carry the load
