The edge hardened: settings, lists and news that are wrong, half written or overtaken

A change that bore the time of the read before was never read (10 s without a word). An event of an unknown type counted as a change (asked from 7 after it). Ruled out: watches cut in the middle of a line were refused before.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, want := range map[string]any{"products.count": 2.0, "products.1.memory": 2e9, "products.1.effect": "referenced",
+	for name, want := range map[string]any{"products.count": 2.0, "products.1.memory": 1.75e9, "products.1.effect": "referenced",
 		"release.caps.0": 0.12, "release.shares.2": 1.0, "release.window": 6e9, "sentries": 1.0, "allow.copies": true,
 		"discovery": "push", "rules.cold-from": 0.3} {
 		if e.Module[name] != want {
@@ -65,6 +65,13 @@
 		{"unclosed", "(free 3)))", "(free 3))", "9:1", "unexpected token"},
 		{"text after the form", "(free 3)))", "(free 3))) extra", "8:73", "found extra"},
 		{"slack over half the expiry", "(release", "(rules (answer-slack 900ms)) (release", "8:3", "at most half"},
+		{"no free submission", "(free 3)", "(free 0)", "8:68", "found 0"},
+		{"no window", "(window 6s)", "(window 0s)", "8:58", "found 0s"},
+		{"no caps", "(caps 12% 0.42 1)", "(caps)", "8:12", "(caps) without a value"},
+		{"memory within the wait for a connection", "(memory 2s)", "(memory 200ms)", "5:63", "found 200ms"},
+		{"grace within the wait for a connection", "(release", "(rules (drain-grace 100ms)) (release", "8:3", "(drain-grace 100ms)"},
+		{"group by zones that nobody named", "(effect referenced)", "(effect referenced) (group zone)", "5:63", "(group zone) without (zones ...)"},
+		{"two zones of a name", "(listen", "(zones a b a) (listen", "1:1", `"a" twice`},
 		{"messages without peers", "(release", "(allow (messages true)) (release", "8:3", "the address of each"},
 	}
 	for _, c := range cases {
@@ -119,6 +126,28 @@
 	}
 }
 
+// Danger: the workers that a list cut short lacks would count as gone.
+func TestListCutAtEveryByte(t *testing.T) {
+	for _, text := range []string{
+		`(worker a (address "127.0.0.1:1")) ; the first
+(worker b (address "127.0.0.1:2") (started 2026-12-01T10:00:00Z))
+(release (build 3) (phase on-trial) (cap 10%))`,
+		`(release (build 3)) (worker a (address "127.0.0.1:1")) (worker b (address "127.0.0.1:2"))`, // never whole
+	} {
+		taken := 0
+		for n := 0; n <= len(text); n++ {
+			if l, err := ParseList("l", text[:n]); err == nil {
+				if taken++; len(l.Workers) != 2 || n < len(text) {
+					t.Errorf("%d of %d bytes were taken as whole: %+v", n, len(text), l)
+				}
+			}
+		}
+		if whole := strings.HasSuffix(text, "10%))"); taken != 1 && whole || taken > 0 && !whole {
+			t.Errorf("taken %d times: %s", taken, text)
+		}
+	}
+}
+
 func FuzzEdge(f *testing.F) {
 	f.Add(good)
 	f.Add("(edge (listen))")
--- a/config/edge.go
+++ b/config/edge.go
@@ -160,6 +160,13 @@
 	e.Zones = f.Texts("zones")
 	e.Kinds = f.Texts("kinds")
 	e.Zone = f.Text("zone", "")
+	for _, names := range [][]string{e.Zones, e.Kinds} {
+		for i, name := range names {
+			if index(names[:i], name) >= 0 {
+				f.Fault(fmt.Sprintf("%q twice among zones or kinds", name), "names that differ")
+			}
+		}
+	}
 	if e.Zone != "" && index(e.Zones, e.Zone) < 0 {
 		f.Sub("zone").Fault(strconv.Quote(e.Zone), "one of (zones ...)")
 	}
@@ -265,6 +272,17 @@
 		if out.Effect == "referenced" && memory <= 0 {
 			p.Must("memory")
 		}
+		if group == "zone" && len(e.Zones) == 0 {
+			p.Sub("group").Fault("(group zone) without (zones ...)", "the zones that workers may be in")
+		}
+		if out.Effect == "referenced" && memory > 0 {
+			// Danger: a submission may wait for its connection; a repeat that was in time when it was decided would then
+			// reach workers that have forgotten the first.
+			if memory -= e.Workers.ConnectTimeout; memory <= 0 {
+				p.Sub("memory").Fault((memory + e.Workers.ConnectTimeout).String(),
+					fmt.Sprintf("more than (connect-timeout %v) of (workers ...)", e.Workers.ConnectTimeout))
+			}
+		}
 		if out.Effect != "referenced" && p.Sub("memory") != nil {
 			p.Sub("memory").Fault("a memory of a product that is "+out.Effect, "a memory of referenced products only")
 		}
@@ -352,6 +370,9 @@
 	caps, shares := g.Nums("caps", 0, 1), g.Nums("shares", 0, 1)
 	g.Must("caps")
 	g.Must("shares")
+	if c := g.Sub("caps"); c != nil && len(caps) == 0 {
+		c.Fault("(caps) without a value", "a cap for each stage")
+	}
 	if len(caps) != len(shares) {
 		g.Fault(fmt.Sprintf("%d caps and %d shares", len(caps), len(shares)), "a cap and a share for each stage")
 	}
@@ -365,8 +386,8 @@
 		m["release.shares."+strconv.Itoa(i)] = shares[i]
 	}
 	g.Must("window")
-	span(g, "window", 6*time.Second, hour)
-	num(g, "free", 1, 0, 1e6)
+	m["release.window"] = float64(g.Span("window", 6*time.Second, time.Millisecond, hour))
+	num(g, "free", 1, 1, 1e6) // with less than one, no whole submission could be told from none
 	span(g, "bake", 3*time.Second, day)
 	span(g, "vote-timeout", time.Second, hour)
 	num(g, "votes-back", 1, 0, 1e6)
@@ -381,6 +402,11 @@
 	num(r, "fall-multiple", 2, 0.1, 1000)
 	span(r, "fall-after", time.Second, hour)
 	span(r, "drain-grace", 500*time.Millisecond, hour)
+	// Danger: what waits for its connection when a worker drains, or a cap falls, is sent that much later.
+	if grace := m["rules.drain-grace"].(float64); grace < float64(e.Workers.ConnectTimeout) {
+		r.Fault(fmt.Sprintf("(drain-grace %v)", time.Duration(grace)),
+			fmt.Sprintf("at least (connect-timeout %v) of (workers ...)", e.Workers.ConnectTimeout))
+	}
 	span(r, "ask-within", 10*time.Second, hour)
 	e.Slack = r.Span("answer-slack", 20*time.Millisecond, 0, time.Second)
 	m["rules.answer-slack"] = float64(e.Slack)
--- a/config/list.go
+++ b/config/list.go
@@ -21,9 +21,25 @@
 	return readList(r)
 }
 
+// ParseList is ReadList for a text in hand.
+func ParseList(file, text string) (*List, error) {
+	r, err := Read(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return readList(r)
+}
+
 func readList(r *Reader) (*List, error) {
 	out := &List{}
 	f := r.Root()
+	// Danger: a file that is cut off between two forms reads as whole, and the workers that it lacks as gone. The release
+	// ends the file, so what lacks it is no whole file.
+	if n := len(f.items); n > 0 {
+		if last := f.form(f.items[n-1]); last == nil || last.name != "release" {
+			f.r.fault(f.items[n-1].Pos, f.items[n-1].String(), "(release ...) as the last form: without it the file is not whole")
+		}
+	}
 	seen := map[string]bool{}
 	for _, w := range f.Many("worker") {
 		id := w.Title("a worker's id")
@@ -41,7 +57,10 @@
 	if len(out.Workers) == 0 {
 		f.Must("worker")
 	}
-	rel := f.Must("release")
+	rel := f.Sub("release")
+	if rel == nil { // told above
+		rel = &Form{r: r, name: "release", asked: map[string]bool{}, ghost: true}
+	}
 	out.Release = api.Release{Build: int(rel.Int("build", 1, 0, 65535)), Stage: int(rel.Int("stage", 0, 0, 1000)),
 		Phase: rel.OneOf("phase", api.Released, api.OnTrial, api.GoingBack, api.Released, api.Withdrawn),
 		Cap:   rel.Num("cap", 1, 0, 1), Since: rel.instant("since")}
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
 
+	"dunegrade/api"
 	"dunegrade/http1"
 	"dunegrade/logic"
 	"dunegrade/trace"
@@ -87,6 +88,7 @@
 	backs   slab[workerConn]
 	pools   map[logic.WorkerID]*pool
 	starts  map[logic.WorkerID]startOf
+	heard   bool // of a first list
 	dialing int
 	heap    timers
 
@@ -121,10 +123,12 @@
 	quit   chan struct{}
 }
 
-// startOf turns the platform's stamp of a worker's start into this host's clock, once for each start.
+// startOf is what tells one process from the next under its id, with its start by this host's clock.
 type startOf struct {
-	stamp int64
-	local logic.Nanos
+	stamp   int64
+	address string
+	build   int
+	local   logic.Nanos
 }
 
 func newLoop(p *Process, i int) *loop {
@@ -141,7 +145,7 @@
 }
 
 // start brings up the event loop and its sentry; list and news are what was known before a restart.
-func (l *loop) start(list []logic.Worker, news *logic.News) error {
+func (l *loop) start(list *api.WorkersEvent, news *logic.News) error {
 	var err error
 	l.client, err = gnet.NewClient(l, gnet.WithLogger(quiet{l.p.log}), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithReadBufferCap(64<<10), gnet.WithNumEventLoop(1))
@@ -184,10 +188,9 @@
 			close(ready)
 			return
 		}
-		for _, w := range list {
-			l.poolOf(w.ID, l.p.addressOf(w.ID))
+		if list != nil {
+			l.list(logic.Restored, *list)
 		}
-		l.tellList(logic.Restored, list)
 		if news != nil {
 			l.tellNews(*news)
 		}
--- a/edge/process.go
+++ b/edge/process.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -14,12 +15,14 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
@@ -47,19 +50,21 @@
 	tells     *net.UDPConn
 	peers     []*net.UDPAddr
 
-	mu        sync.Mutex // guards what follows; never held on the ordinary path
-	addresses map[logic.WorkerID]string
-	kept      map[string]api.Worker
-	newest    api.Release // the last one told
-	saving    bool
-	listed    atomic.Bool
+	mu     sync.Mutex // guards what follows; never held on the ordinary path
+	kept   map[string]api.Worker
+	newest api.Release // the last one told
+	ahead  int64       // of the platform's clock before ours, when it last told the list
+	saving *time.Timer
+	closed bool // nothing is saved any more
+	disk   sync.Mutex
+	listed atomic.Bool
 }
 
 // New makes an edge of a checked plan. It listens when Run is called.
 func New(plan *config.Edge, log *zap.Logger) *Process {
 	p := &Process{plan: plan, log: log, routes: newTable(plan.Routes), customers: numbers(plan.Customers, 1),
 		zones: numbers(plan.Zones, 0), kinds: numbers(plan.Kinds, 0), products: map[string]int{}, began: time.Now(),
-		addresses: map[logic.WorkerID]string{}, kept: map[string]api.Worker{}}
+		kept: map[string]api.Worker{}}
 	p.epoch = p.began.UnixNano()
 	for i := range plan.Products {
 		p.products[plan.Products[i].Name] = i
@@ -144,7 +149,7 @@
 	stopSource()
 	group.Wait()
 	p.stopLoops()
-	p.save()
+	p.lastSave()
 	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Int64("cut", held))
 	if held > 0 {
 		return fmt.Errorf("drain: %d txns or streams were still open after %v", held, p.plan.DrainWithin)
@@ -258,25 +263,37 @@
 
 // ---- What the source tells ----
 
-func (p *Process) addressOf(id logic.WorkerID) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addresses[id]
-}
-
+// workers takes a list event. A line that makes no sense is named and changes nothing, but that what it takes out of
+// service goes out of service; the others count.
 func (p *Process) workers(e api.WorkersEvent) {
+	lines := make([]api.Worker, 0, len(e.Workers))
 	p.mu.Lock()
+	for _, w := range e.Workers {
+		if err := w.Check(); err != nil {
+			p.log.Error("line of the list not heeded", zap.Uint64("revision", e.Revision), zap.Error(err))
+			held, known := p.kept[w.ID]
+			if !known {
+				continue
+			}
+			if w.State != api.Up {
+				held.State = w.State
+			}
+			w = held
+		}
+		lines = append(lines, w)
+	}
+	e.Workers = lines
 	if e.Type == api.Whole {
 		clear(p.kept)
 	}
 	for _, w := range e.Workers {
-		p.addresses[logic.WorkerID(w.ID)] = w.Address
 		if w.State == api.Gone {
 			delete(p.kept, w.ID)
 		} else {
 			p.kept[w.ID] = w
 		}
 	}
+	p.ahead = e.Now - time.Now().UnixNano()
 	p.mu.Unlock()
 	mode := logic.Changes
 	if e.Type == api.Whole {
@@ -298,21 +315,13 @@
 	for _, w := range e.Workers {
 		id := logic.WorkerID(w.ID)
 		listed[id] = true
-		start := l.starts[id]
-		if start.stamp != w.StartedAt || w.StartedAt == 0 {
-			start = startOf{stamp: w.StartedAt}
-			if w.StartedAt != 0 {
-				// The clocks differ, the age does not; it is taken once, or each telling would look like a new start.
-				start.local = l.now - logic.Nanos(max(0, e.Now-w.StartedAt))
-			}
-			l.starts[id] = start
-		}
+		start := l.started(id, w, e.Now)
 		state, known := states[w.State]
 		if !known {
 			state = logic.Draining // a standing that a newer planner knows gets nothing new
 		}
-		list = append(list, logic.Worker{ID: id, Zone: logic.ZoneID(l.p.zones[w.Zone]), Kind: logic.KindID(l.p.kinds[w.Kind]),
-			Cell: w.Cell, State: state, Weight: w.Weight, Rel: logic.RelID(w.Build), Start: start.local})
+		list = append(list, logic.Worker{ID: id, Zone: logic.ZoneID(numberOf(l.p.zones, w.Zone)), Kind: logic.KindID(numberOf(l.p.kinds, w.Kind)),
+			Cell: w.Cell, State: state, Weight: w.Weight, Rel: logic.RelID(w.Build), Start: start})
 		pool := l.poolOf(id, w.Address)
 		if pool.gone = state == logic.Gone; pool.gone {
 			delete(l.starts, id)
@@ -320,9 +329,13 @@
 	}
 	if mode == logic.Whole {
 		for id, pool := range l.pools {
-			pool.gone = pool.gone || !listed[id]
+			if !listed[id] {
+				pool.gone = true
+				delete(l.starts, id)
+			}
 		}
 	}
+	l.heard = true
 	l.tellList(mode, list)
 	for id, pool := range l.pools {
 		if pool.gone {
@@ -334,6 +347,36 @@
 	}
 }
 
+// started gives a worker's start by this host's clock, the same for each telling of one process. Danger: a process that
+// took another's place without a start of its own would pass for warm, and answer for what that one did. So where the
+// address or the build has changed, or an id appears after the first list, what is not told to have started earlier
+// counts as started now.
+func (l *loop) started(id logic.WorkerID, w api.Worker, platform int64) logic.Nanos {
+	was, known := l.starts[id]
+	if known && (w.State != api.Up || was.stamp == w.StartedAt && was.address == w.Address && was.build == w.Build) {
+		return was.local
+	}
+	is := startOf{stamp: w.StartedAt, address: w.Address, build: w.Build}
+	switch {
+	case w.StartedAt != 0 && (!known || was.stamp != w.StartedAt):
+		// The clocks differ, the age does not; it is taken once, or each telling would look like a new start.
+		is.local = l.now - logic.Nanos(max(0, platform-w.StartedAt))
+	case known || l.heard:
+		is.local = l.now
+	}
+	l.starts[id] = is
+	return is.local
+}
+
+// numberOf gives the number of a zone or kind. Danger: a name that the settings lack must not pass for the first of
+// them, or a repeat that may go to workers of the same zone only would leave it; so it gets a number of its own.
+func numberOf(names map[string]int, name string) int {
+	if n, known := names[name]; known || len(names) == 0 && name == "" {
+		return n
+	}
+	return 1<<16 + int(xxhash.Sum64String(name)>>34)
+}
+
 // poolOf gives the pool of a worker at its address; a worker that has moved gets a new one.
 func (l *loop) poolOf(id logic.WorkerID, address string) *pool {
 	p := l.pools[id]
@@ -351,39 +394,65 @@
 var phases = map[string]logic.Phase{api.OnTrial: logic.OnTrial, api.GoingBack: logic.GoingBack,
 	api.Released: logic.Released, api.Withdrawn: logic.Withdrawn}
 
-func newsOf(e api.ReleaseEvent, answer bool) (logic.News, bool) {
-	phase, known := phases[e.Release.Phase]
+func newsOf(e api.ReleaseEvent, answer bool) logic.News {
 	return logic.News{Stage: e.Release.Stage, Answer: answer, Rel: logic.RelID(e.Release.Build), Cap: e.Release.Cap,
-		Phase: phase, Age: logic.Nanos(max(0, e.Now-e.Release.Since))}, known
+		Phase: phases[e.Release.Phase], Age: logic.Nanos(max(0, e.Now-e.Release.Since))}
 }
 
-func (p *Process) release(e api.ReleaseEvent) {
-	n, known := newsOf(e, false)
-	if !known {
-		p.log.Error("release in an unknown phase, not heeded", zap.String("phase", e.Release.Phase))
-		return
+// heeds notes where the newest build stands, as pushed or in answer to a vote, and tells whether that may be passed on.
+// Danger: answers and pushes come on connections of their own, so either may have been overtaken. What began before
+// that which is in force, by the platform's clock, must not loosen it again; what tightens is always heeded.
+func (p *Process) heeds(r api.Release) bool {
+	if err := r.Check(); err != nil {
+		p.log.Error("news of a release not heeded", zap.Error(err))
+		return false
 	}
+	back := func(phase string) bool { return phase == api.GoingBack || phase == api.Withdrawn }
 	p.mu.Lock()
-	changed := p.newest != e.Release
-	p.newest = e.Release
+	was := p.newest
+	overtaken := r.Since < was.Since && (r.Build < was.Build || r.Build == was.Build &&
+		(r.Cap > was.Cap || back(was.Phase) && !back(r.Phase)))
+	if !overtaken {
+		p.newest = r
+	}
 	p.mu.Unlock()
+	if overtaken {
+		p.log.Warn("news of a release was overtaken, not heeded", zap.Int("build", r.Build), zap.Int("stage", r.Stage),
+			zap.String("phase", r.Phase), zap.Float64("cap", r.Cap))
+	} else if r != was {
+		p.saveSoon()
+	}
+	return !overtaken
+}
+
+func (p *Process) release(e api.ReleaseEvent) {
+	if !p.heeds(e.Release) {
+		return
+	}
+	n := newsOf(e, false)
 	for _, l := range p.loops {
 		l.post(func() { l.tellNews(n) })
 	}
-	if changed {
-		p.saveSoon()
-	}
 }
 
 // saveSoon writes what is to outlive a restart; a storm of changes is written once.
 func (p *Process) saveSoon() {
 	p.mu.Lock()
-	first := !p.saving
-	p.saving = true
-	p.mu.Unlock()
-	if first && p.plan.State != "" {
-		time.AfterFunc(100*time.Millisecond, p.save)
+	defer p.mu.Unlock()
+	if p.saving == nil && !p.closed && p.plan.State != "" {
+		p.saving = time.AfterFunc(100*time.Millisecond, func() { p.save(false) }) // of no effect after lastSave
+	}
+}
+
+// lastSave writes what is kept at the end of the process, and lets nothing be written after.
+func (p *Process) lastSave() {
+	p.mu.Lock()
+	p.closed = true
+	if p.saving != nil {
+		p.saving.Stop()
 	}
+	p.mu.Unlock()
+	p.save(true)
 }
 
 func (p *Process) report(r api.Report) {
@@ -437,9 +506,9 @@
 		}()
 		e, err := l.p.source.Vote(ctx, api.Vote{Edge: l.p.plan.Name, Sentry: l.number, Verdict: verdicts[v],
 			Build: int(rel), Stage: stage})
-		news, known := newsOf(e, true)
+		news := newsOf(e, true)
 		switch {
-		case err == nil && known:
+		case err == nil && l.p.heeds(e.Release):
 			news.Ending = logic.OK
 		case errors.Is(err, api.ErrMoot):
 			news.Ending = logic.Moot
@@ -464,8 +533,8 @@
 // openPeers listens for other sentries' messages at this process's own addresses, one a loop; they share one
 // socket where the loops' addresses are the same.
 func (p *Process) openPeers() error {
-	if len(p.plan.Peers) == 0 {
-		return nil
+	if !p.plan.Module["allow.messages"].(bool) {
+		return nil // addresses may stand in the settings all the same
 	}
 	for _, a := range p.plan.Peers {
 		u, err := net.ResolveUDPAddr("udp", a)
@@ -513,21 +582,50 @@
 
 // ---- What outlives a restart ----
 
-// kept is the file of the last list.
+// keptList is the file of the last list.
 type keptList struct {
 	Version int          `json:"version"`
-	Saved   int64        `json:"saved"`
+	Saved   int64        `json:"saved"`           // by this host's clock
+	Clock   int64        `json:"clock,omitempty"` // the platform's at that moment: starts are told by it
 	Workers []api.Worker `json:"workers"`
 	Release api.Release  `json:"release"`
 }
 
+// check gives what no list can hold.
+func (k *keptList) check() error {
+	if k.Version != 1 {
+		return fmt.Errorf("version: found %d, wanted 1", k.Version)
+	}
+	seen := map[string]bool{}
+	for i := range k.Workers {
+		w := &k.Workers[i]
+		if err := w.Check(); err != nil {
+			return fmt.Errorf("entry %d: %w", i+1, err)
+		}
+		if seen[w.ID] {
+			return fmt.Errorf("entry %d: found a second worker %q, wanted ids that differ", i+1, w.ID)
+		}
+		seen[w.ID] = true
+	}
+	if k.Release == (api.Release{}) { // none had been told
+		return nil
+	}
+	return k.Release.Check()
+}
+
 func (p *Process) statePath() string { return filepath.Join(p.plan.State, p.plan.Name+".list.json") }
 
 // save writes the last list beside its place and moves it there, so that a crash leaves the old one or the new.
-func (p *Process) save() {
+func (p *Process) save(last bool) {
+	p.disk.Lock() // Danger: two writers of one file would leave a mixture of both
+	defer p.disk.Unlock()
 	p.mu.Lock()
-	p.saving = false
-	k := keptList{Version: 1, Saved: time.Now().UnixNano(), Release: p.newest}
+	if p.saving = nil; p.closed && !last {
+		p.mu.Unlock()
+		return
+	}
+	now := time.Now().UnixNano()
+	k := keptList{Version: 1, Saved: now, Clock: now + p.ahead, Release: p.newest}
 	for _, w := range p.kept {
 		k.Workers = append(k.Workers, w)
 	}
@@ -535,20 +633,38 @@
 	if p.plan.State == "" || len(k.Workers) == 0 {
 		return
 	}
+	slices.SortFunc(k.Workers, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	data, err := json.Marshal(k)
 	if err == nil {
-		tmp := p.statePath() + ".new"
-		if err = os.WriteFile(tmp, data, 0o644); err == nil {
-			err = os.Rename(tmp, p.statePath())
-		}
+		err = replaceFile(p.statePath(), data)
 	}
 	if err != nil {
 		p.log.Warn("the last list could not be kept", zap.Error(err))
 	}
 }
 
-// restore reads the last list. One that is malformed is named and not used.
-func (p *Process) restore() (list []logic.Worker, news *logic.News) {
+// replaceFile puts data in a file's place. Danger: what is moved before it is on the disk is empty after a power cut.
+func replaceFile(path string, data []byte) error {
+	f, err := os.Create(path + ".new")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	return err
+}
+
+// restore reads the last list, as an event with the platform's clock as it should be by now. One that is malformed is
+// named and not used.
+func (p *Process) restore() (list *api.WorkersEvent, news *logic.News) {
 	if p.plan.State == "" {
 		return nil, nil
 	}
@@ -564,31 +680,30 @@
 	if err == nil {
 		err = json.Unmarshal(data, &k)
 	}
-	if err == nil && k.Version != 1 {
-		err = fmt.Errorf("version %d", k.Version)
+	if err == nil {
+		err = k.check()
 	}
 	if err != nil {
-		p.log.Warn("the kept list is refused", zap.Error(err))
+		p.log.Warn("the kept list is refused", zap.String("file", p.statePath()), zap.Error(err))
 		return nil, nil
 	}
-	now := p.clock()
+	now := time.Now().UnixNano()
+	age := max(0, now-k.Saved)
+	list = &api.WorkersEvent{Type: api.Whole, Now: now, Workers: k.Workers}
+	if k.Clock != 0 {
+		list.Now = k.Clock + age
+	}
+	p.ahead = list.Now - now
 	for _, w := range k.Workers {
-		p.addresses[logic.WorkerID(w.ID)] = w.Address
 		p.kept[w.ID] = w
-		start := logic.Nanos(0)
-		if w.StartedAt != 0 {
-			start = now - logic.Nanos(max(0, time.Now().UnixNano()-w.StartedAt))
-		}
-		list = append(list, logic.Worker{ID: logic.WorkerID(w.ID), Zone: logic.ZoneID(p.zones[w.Zone]),
-			Kind: logic.KindID(p.kinds[w.Kind]), Cell: w.Cell, State: states[w.State], Weight: w.Weight,
-			Rel: logic.RelID(w.Build), Start: start})
 	}
-	p.log.Info("last list restored", zap.Int("workers", len(list)),
-		zap.Duration("age", time.Duration(time.Now().UnixNano()-k.Saved)))
+	p.log.Info("last list restored", zap.Int("workers", len(k.Workers)), zap.Duration("age", time.Duration(age)))
 	// What was released stays so till the platform says otherwise. A build on trial may have lost its cap meanwhile,
 	// so it gets nothing until then.
-	if n, known := newsOf(api.ReleaseEvent{Release: k.Release}, false); known {
-		if p.newest = k.Release; n.Phase != logic.Released {
+	if k.Release != (api.Release{}) {
+		p.newest = k.Release
+		n := newsOf(api.ReleaseEvent{Release: k.Release}, false)
+		if n.Phase != logic.Released {
 			n.Cap = 0
 		}
 		news = &n
--- a/edge/source.go
+++ b/edge/source.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -65,14 +66,19 @@
 			if err := json.Unmarshal(line, &e); err != nil {
 				return fmt.Errorf("malformed event: %w", err)
 			}
-			if e.Type == api.Bookmark {
+			switch e.Type {
+			case api.Bookmark:
 				return nil
-			}
-			// Danger: a change that skips a revision was made to a list that we do not have.
-			if e.Type == api.Change && e.Revision != revision+1 {
-				have := revision
+			case api.Change:
+				// Danger: a change that skips a revision was made to a list that we do not have.
+				if have := revision; e.Revision != have+1 {
+					revision = 0
+					return fmt.Errorf("change %d after %d: the whole list is needed", e.Revision, have)
+				}
+			case api.Whole:
+			default: // what it means for the list is not known
 				revision = 0
-				return fmt.Errorf("change %d after %d: the whole list is needed", e.Revision, have)
+				return fmt.Errorf("event of type %q: found neither whole, change nor bookmark; the whole list is needed", e.Type)
 			}
 			revision = e.Revision
 			to.workers(e)
@@ -182,23 +188,40 @@
 	return api.ReleaseEvent{}, errors.New("a file takes no votes")
 }
 
+// settled is how old a file's last change must be for its time to tell it from the next one: file systems stamp changes
+// coarsely.
+const settled = 2 * time.Second
+
 func (s *fileSource) Run(ctx context.Context, to hearer) {
-	var seen time.Time
+	var seen time.Time // the change that was read when it was old enough
+	var last []byte
 	revision := uint64(0)
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
 		info, err := os.Stat(s.path)
 		if err == nil && !info.ModTime().Equal(seen) {
-			seen = info.ModTime()
-			list, err := config.ReadList(s.path)
-			if err != nil { // the list held so far stays
-				s.log.Error("list file refused", zap.Error(err))
-			} else {
+			// Danger: a read may meet half of what is being written, and the rest may bear the same time.
+			if seen = info.ModTime(); time.Since(seen) < settled {
+				seen = time.Time{}
+			}
+			text, err := os.ReadFile(s.path)
+			if err == nil && revision > 0 && bytes.Equal(text, last) {
+				err = errSame
+			}
+			var list *config.List
+			if err == nil {
+				last = text
+				list, err = config.ParseList(s.path, string(text))
+			}
+			switch {
+			case err == nil:
 				revision++
 				now := time.Now().UnixNano()
 				to.workers(api.WorkersEvent{Type: api.Whole, Revision: revision, Now: now, Workers: list.Workers})
 				to.release(api.ReleaseEvent{Type: api.Whole, Revision: revision, Now: now, Release: list.Release})
+			case !errors.Is(err, errSame): // the list held so far stays
+				s.log.Error("list file refused", zap.Error(err))
 			}
 		}
 		select {
@@ -206,7 +229,9 @@
 			return
 		case <-tick.C:
 		case <-s.again:
-			seen = time.Time{}
+			seen, last = time.Time{}, nil
 		}
 	}
 }
+
+var errSame = errors.New("the text is that of the last read")
--- a/edge/source_test.go
+++ b/edge/source_test.go
@@ -260,3 +260,23 @@
 	defer c.Close()
 	return c.LocalAddr().String()
 }
+
+// serveWatch answers each watch of the list with these lines, and tells from which revision it was asked.
+func serveWatch(t *testing.T, ln net.Listener, lines ...string) chan string {
+	asked := make(chan string, 64)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/workers" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		asked <- r.URL.Query().Get("revision")
+		for _, line := range lines {
+			fmt.Fprintln(w, line)
+		}
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return asked
+}
