--- a/lab/platform.go
+++ b/lab/platform.go
@@ -51,9 +51,11 @@
 	tallied  at
 	clock    time.Duration // that the stage has run, under clocked
 	stepped  at
-	lists    map[string]api.Worker // as the last change left it
-	next     int                   // offer
-	backAt   map[int]at            // when a build was called back
+	lists    map[string]api.Worker                 // as the last change left it
+	next     int                                   // offer
+	entered  func(state string)                    // told of each state, beside the platform; may be nil
+	spoil    func(w http.ResponseWriter, line any) // has its way before each line of a watch is written; may be nil
+	backAt   map[int]at                            // when a build was called back
 	released map[int]at
 	offered  map[int]at
 }
@@ -142,8 +144,31 @@
 	p.changes = append(p.changes, change{when, x})
 }
 
+// state names where the platform stands, as reviews and tests do.
+func (p *platform) state() string {
+	switch {
+	case p.phase == api.OnTrial && p.stage == 0:
+		return "first stage"
+	case p.phase == api.OnTrial && p.stage == len(p.day.Stages)-1:
+		return "last stage"
+	case p.phase == api.OnTrial:
+		return "stage change"
+	case p.phase == api.GoingBack:
+		return "going back"
+	case p.phase == api.Withdrawn:
+		return "withdrawn"
+	case p.build == 1:
+		return "no trial"
+	}
+	return "after release"
+}
+
 // tell notes news of the release, told after the news' delay.
 func (p *platform) tell(delay time.Duration) {
+	if p.entered != nil {
+		state := p.state()
+		p.group.Go(func() { p.entered(state) })
+	}
 	cap := 0.0
 	switch p.phase {
 	case api.OnTrial:
@@ -480,12 +505,15 @@
 		if !p.stalled {
 			lines = due()
 		}
-		quiet := p.stalled
+		quiet, spoil := p.stalled, p.spoil
 		p.mu.Unlock()
 		if len(lines) == 0 && !quiet && p.now()-last > 500*time.Millisecond {
 			lines = append(lines, map[string]string{"type": api.Bookmark})
 		}
 		for _, l := range lines {
+			if spoil != nil {
+				spoil(w, l)
+			}
 			if enc.Encode(l) != nil {
 				return
 			}
--- a/lab/run.go
+++ b/lab/run.go
@@ -24,6 +24,8 @@
 	Out  string                              // folder of settings, state and logs of the edges
 	Edge func(settingsPath string) *exec.Cmd // the command of one edge
 	Live func(Snapshot)                      // told once a second, if not nil
+
+	entered func(r *run, state string) // told of each state of the platform, if not nil
 }
 
 // Snapshot is what a run looks like at a moment.
@@ -85,6 +87,9 @@
 	r.park = newPark(q.Day, r.rec, r.now, host)
 	r.platform = newPlatform(q.Day, r.rec, r.park, r.now)
 	r.clients = newClients(q.Day, r.rec, r.now, r.platform.flag)
+	if q.entered != nil {
+		r.platform.entered = func(state string) { q.entered(r, state) }
+	}
 	defer r.park.close()
 	if err := r.platform.start(host); err != nil {
 		return nil, err
