Few sentries leave a third of the trial out of the look at errors alone

Ruled out: the pair test and the caution that was deleted (the same with it). Line at fault: only one worker was left out. Change: of few sentries a third; many see too little of each.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -682,7 +682,7 @@
 	}
 	// Danger: a few bad machines on either side pass for the build. So as many of the worst on each side are
 	// left out as are a fifth of the trial, for a second look.
-	trials, bases, erring := s.losses(evidenceKept)
+	trials, bases, fails := s.losses(evidenceKept)
 	s.own.fade(evidenceKept)
 	out := (len(trials) + 4) / 5
 	if len(trials) == 1 {
@@ -701,6 +701,13 @@
 	gathers := s.gather()
 	// Danger: where each sees little, a failing build is released before any sees pairs enough. Errors are rare,
 	// so a few at two workers are told from the usual share.
+	// Danger: machines that fail by themselves pass for the build where no baseline is left. Few sentries
+	// see enough of each to leave a third of them out.
+	spare := min(len(fails), 1)
+	if s.part == 1 {
+		spare = (len(fails) + 2) / 3
+	}
+	erring := worst(fails, len(fails)) - worst(fails, spare)
 	fluke := poisson(erring, s.own.tried*(s.usualErr+errorFloor))
 	slow := s.slowness(slowFloor * math.Exp(-s.many/4))
 	p, spread := signTest(all.against, all.favour), signTest(all.leanAgainst, all.leanFavour)
--- a/logic/state.go
+++ b/logic/state.go
@@ -176,7 +176,7 @@
 	skew                  spread       // as the trial's times, of the baseline
 	unsteady              float64      // variance of the log of times of earlier builds
 	rises, roseAt         int          // stages with a rise
-	scratch               [2][]float64
+	scratch               [3][]float64
 	side                  []*worker
 
 	wantVote          Verdict
@@ -517,21 +517,20 @@
 }
 
 // losses lists, after fading, the pairs that each worker lost on the trial's side and on the other, and gives
-// the trial's errors without its worst worker.
-func (s *Sentry) losses(kept float64) (trials, bases []float64, erring float64) {
-	trials, bases = s.scratch[0][:0], s.scratch[1][:0]
-	most := 0.0
+// the errors of each worker of the trial.
+func (s *Sentry) losses(kept float64) (trials, bases, fails []float64) {
+	trials, bases, fails = s.scratch[0][:0], s.scratch[1][:0], s.scratch[2][:0]
 	for _, w := range s.order {
 		w.against, w.fails = w.against*kept, w.fails*kept
 		if w.State == Up && w.Rel == s.trial {
 			trials = append(trials, w.against)
-			erring, most = erring+w.fails, max(most, w.fails)
+			fails = append(fails, w.fails)
 		} else if w.State == Up {
 			bases = append(bases, w.against)
 		}
 	}
-	s.scratch = [2][]float64{trials, bases}
-	return trials, bases, erring - most
+	s.scratch = [3][]float64{trials, bases, fails}
+	return trials, bases, fails
 }
 
 // pool adds to the own evidence what others have told of late.
