--- a/lab/sockets_test.go
+++ b/lab/sockets_test.go
@@ -79,7 +79,7 @@
 	{"rolled", func(r *run, state string) bool {
 		return r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.startEdge(r.procs[1]) == nil
 	}, "stopped", true},
-	{"settings half written, then whole again", func(r *run, state string) bool {
+	{"settings half written, then whole and changed", func(r *run, state string) bool {
 		p := r.procs[1]
 		text, err := os.ReadFile(p.settings)
 		if err != nil || r.endEdge(p, syscall.SIGTERM) != nil {
@@ -90,8 +90,12 @@
 		said, err := cmd.CombinedOutput()
 		var exit *exec.ExitError
 		refused := errors.As(err, &exit) && exit.ExitCode() == 2 && strings.Contains(string(said), "edge-1.sexp:")
-		os.WriteFile(p.settings, text, 0o644)
-		return r.startEdge(p) == nil && refused
+		changed := strings.Replace(string(text), "(free 3)", "(free 2)", 1)
+		if changed == string(text) {
+			changed = strings.Replace(changed, "(free 2)", "(free 3)", 1)
+		}
+		os.WriteFile(p.settings, []byte(changed), 0o644)
+		return r.startEdge(p) == nil && refused && changed != string(text)
 	}, "serving", true},
 	{"the folder of state takes nothing", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "edge-1.list.json.new")
--- a/lab/stages_test.go
+++ b/lab/stages_test.go
@@ -60,6 +60,12 @@
 		d.at(6*time.Second, func() { d.stage(2) })
 		d.at(9*time.Second, func() { d.releases() })
 	}, 9200 * ms, logic.Released, 2},
+	{"next build after one withdrawn", func(d *vday) {
+		d.at(2*time.Second, func() { d.stage(0) })
+		d.at(4*time.Second, func() { d.goesBack() })
+		d.at(7*time.Second, func() { d.withdraws() })
+		d.at(9*time.Second, func() { d.stage(0) })
+	}, 8950 * ms, logic.Withdrawn, 0},
 	{"drain of the edge", func(d *vday) {
 		d.at(5*time.Second, func() { d.stage(0) })
 		d.at(6500*ms, func() { d.drainSentry(d.sentries[0]) })
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -66,6 +66,7 @@
 	before   logic.News // what stood before the present state
 	beforeAt at
 	rate     float64
+	offered  int // the newest build
 	// What troubles change.
 	listLate, newsLate at
 	listCut            bool // changes of the list are lost
@@ -127,7 +128,7 @@
 
 func newVirtual(day *Day) *vday {
 	d := &vday{day: day, rec: &Record{}, rng: rand.New(rand.NewSource(day.Seed)), shared: fleet.NewShared(), workers: map[string]*vworker{},
-		hits: map[string]int{}, rate: day.Rate}
+		hits: map[string]int{}, rate: day.Rate, offered: 2}
 	plan, err := config.ParseEdge("virtual.sexp", day.EdgeText(0, "127.0.0.1:1", "127.0.0.1:2", "http://127.0.0.1:3", "state", nil))
 	if err != nil {
 		panic(err)
@@ -682,12 +683,12 @@
 	d.push()
 }
 
-// stage brings build 2 to a stage: as many places as it has get a machine with it, and the earlier ones drain.
+// stage brings the newest build to a stage: as many places as it has get a machine with it, and the earlier ones drain.
 func (d *vday) stage(stage int) {
-	d.moves(logic.News{Rel: 2, Stage: stage, Phase: logic.OnTrial, Cap: d.day.caps()[stage]})
+	d.moves(logic.News{Rel: logic.RelID(d.offered), Stage: stage, Phase: logic.OnTrial, Cap: d.day.caps()[stage]})
 	want := int(d.day.Stages[stage]*float64(len(d.places)) + 0.999)
 	for i := 0; i < want; i++ {
-		d.replace(i, 2)
+		d.replace(i, d.offered)
 	}
 }
 
@@ -714,16 +715,22 @@
 }
 
 func (d *vday) goesBack() {
-	d.moves(logic.News{Rel: 2, Stage: d.release.Stage, Phase: logic.GoingBack})
+	d.moves(logic.News{Rel: logic.RelID(d.offered), Stage: d.release.Stage, Phase: logic.GoingBack})
 	for i, w := range d.places {
-		if w.build == 2 {
+		if w.build == d.offered {
 			d.replace(i, 1)
 		}
 	}
 }
 
+// withdraws ends the way back; the next build follows.
+func (d *vday) withdraws() {
+	d.moves(logic.News{Rel: logic.RelID(d.offered), Stage: d.release.Stage, Phase: logic.Withdrawn})
+	d.offered++
+}
+
 func (d *vday) releases() {
-	d.moves(logic.News{Rel: 2, Stage: len(d.day.Stages) - 1, Phase: logic.Released, Cap: 1})
+	d.moves(logic.News{Rel: logic.RelID(d.offered), Stage: len(d.day.Stages) - 1, Phase: logic.Released, Cap: 1})
 }
 
 // drainSentry stops a sentry as SIGTERM does, and starts it anew on what it kept.
