--- a/lab/sockets_test.go
+++ b/lab/sockets_test.go
@@ -212,10 +212,13 @@
 				first := true
 				r.entered = func(r *run, state string) {
 					if state == "no trial" {
-						if !first {
+						mu.Lock()
+						again := !first
+						first = false
+						mu.Unlock()
+						if again {
 							return
 						}
-						first = false
 						for len(r.procs) < day.Sentries || r.offset.Load() == 0 { // the day has not begun
 							select {
 							case <-r.quit:
