The edge: news is passed on in the order it was looked at; a refused line is not kept

Two pieces of news at one moment, a push and an answer to a vote, were put in order and then posted to the loops without the lock, so that the looser could still come last. A list file that is refused at the start is named once and not at each look; faults of zones have their place.

--- a/api/check.go
+++ b/api/check.go
@@ -13,8 +13,12 @@
 	return fmt.Sprintf("%s: found %s, wanted %s", f.At, f.Found, f.Wanted)
 }
 
-// maxBuild is the largest number of a build: messages between sentries hold it in two bytes.
-const maxBuild = 65535
+// MaxBuild is the largest number of a build: messages between sentries hold it in two bytes. MaxStage is the last stage
+// that any release has.
+const (
+	MaxBuild = 65535
+	MaxStage = 1000
+)
 
 // Check gives a *Fault where a line of the list is one that no worker can have, nil where it is sound. A standing that is
 // not known here is sound: a newer platform may have more.
@@ -25,13 +29,13 @@
 		return &Fault{"a worker's id", `""`, "a text"}
 	case w.State == "":
 		return &Fault{at + "state", `""`, "a standing such as " + Up}
-	case w.Build < 0 || w.Build > maxBuild:
-		return &Fault{at + "build", strconv.Itoa(w.Build), fmt.Sprintf("a whole number from 0 to %d", maxBuild)}
+	case w.Build < 0 || w.Build > MaxBuild:
+		return &Fault{at + "build", strconv.Itoa(w.Build), fmt.Sprintf("a whole number from 0 to %d", MaxBuild)}
 	case w.Cell < 0:
 		return &Fault{at + "cell", strconv.Itoa(w.Cell), "a whole number from 0 on"}
 	case !(w.Weight >= 0):
 		return &Fault{at + "weight", fmt.Sprint(w.Weight), "a number from 0 on"}
-	case w.State == Up && (err != nil || !isPort(port)):
+	case w.State == Up && (err != nil || Port(port) <= 0):
 		return &Fault{at + "address", strconv.Quote(w.Address), "an address and port"}
 	}
 	return nil
@@ -41,10 +45,10 @@
 func (r *Release) Check() error {
 	at := fmt.Sprintf("release of build %d, ", r.Build)
 	switch {
-	case r.Build < 0 || r.Build > maxBuild:
-		return &Fault{at + "build", strconv.Itoa(r.Build), fmt.Sprintf("a whole number from 0 to %d", maxBuild)}
-	case r.Stage < 0 || r.Stage > 1000:
-		return &Fault{at + "stage", strconv.Itoa(r.Stage), "a whole number from 0 to 1000"}
+	case r.Build < 0 || r.Build > MaxBuild:
+		return &Fault{at + "build", strconv.Itoa(r.Build), fmt.Sprintf("a whole number from 0 to %d", MaxBuild)}
+	case r.Stage < 0 || r.Stage > MaxStage:
+		return &Fault{at + "stage", strconv.Itoa(r.Stage), fmt.Sprintf("a whole number from 0 to %d", MaxStage)}
 	case !(r.Cap >= 0 && r.Cap <= 1):
 		return &Fault{at + "cap", fmt.Sprint(r.Cap), "a number from 0 to 1"}
 	}
@@ -55,7 +59,11 @@
 	return &Fault{at + "phase", strconv.Quote(r.Phase), "one of on-trial, going-back, released, withdrawn"}
 }
 
-func isPort(s string) bool {
+// Port reads a port of an address; -1 where it is none.
+func Port(s string) int {
 	n, err := strconv.ParseUint(s, 10, 16)
-	return err == nil && n > 0
+	if err != nil {
+		return -1
+	}
+	return int(n)
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -71,7 +69,7 @@
 		{"memory within the wait for a connection", "(memory 2s)", "(memory 200ms)", "5:63", "found 200ms"},
 		{"grace within the wait for a connection", "(release", "(rules (drain-grace 100ms)) (release", "8:3", "(drain-grace 100ms)"},
 		{"group by zones that nobody named", "(effect referenced)", "(effect referenced) (group zone)", "5:63", "(group zone) without (zones ...)"},
-		{"two zones of a name", "(listen", "(zones a b a) (listen", "1:1", `"a" twice`},
+		{"two zones of a name", "(listen", "(zones a b a) (listen", "2:3", `"a" twice`},
 		{"messages without peers", "(release", "(allow (messages true)) (release", "8:3", "the address of each"},
 	}
 	for _, c := range cases {
@@ -109,19 +107,11 @@
 }
 
 func TestList(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "list.sexp")
-	write := func(text string) {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	write(`(worker a (address "127.0.0.1:1") (build 3) (started 2026-12-01T10:00:00Z)) (release (build 3))`)
-	l, err := ReadList(path)
+	l, err := ParseList("l", `(worker a (address "127.0.0.1:1") (build 3) (started 2026-12-01T10:00:00Z)) (release (build 3))`)
 	if err != nil || len(l.Workers) != 1 || l.Workers[0].Build != 3 || l.Workers[0].StartedAt == 0 || l.Release.Cap != 1 {
 		t.Errorf("read as %+v, %v", l, err)
 	}
-	write(`(worker a (address "x") (build 70000)) (worker a (address "127.0.0.1:2"))`)
-	if _, err = ReadList(path); err == nil || len(err.(Faults)) != 4 {
+	if _, err = ParseList("l", `(worker a (address "x") (build 70000)) (worker a (address "127.0.0.1:2"))`); err == nil || len(err.(Faults)) != 4 {
 		t.Errorf("got %v, want four faults", err)
 	}
 }
--- a/config/edge.go
+++ b/config/edge.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"dunegrade/api"
 )
 
 // Edge is all that an edge is told by its file, checked.
@@ -138,15 +140,19 @@
 		}
 		return ""
 	}
-	if _, port, err := net.SplitHostPort(a); err != nil || !isPort(port) {
+	if _, port, err := net.SplitHostPort(a); err != nil || api.Port(port) < 0 {
 		f.Sub(name).Fault(strconv.Quote(a), "an address and port, such as 127.0.0.1:8080")
 	}
 	return a
 }
 
-func isPort(s string) bool {
-	n, err := strconv.ParseUint(s, 10, 16)
-	return err == nil && n <= 65535
+// differ records a fault where a field of texts holds one twice.
+func (f *Form) differ(field string, names []string) {
+	for i, name := range names {
+		if index(names[:i], name) >= 0 {
+			f.Sub(field).Fault(fmt.Sprintf("%q twice", name), "names that differ")
+		}
+	}
 }
 
 func (e *Edge) readProcess(f *Form) {
@@ -160,13 +166,8 @@
 	e.Zones = f.Texts("zones")
 	e.Kinds = f.Texts("kinds")
 	e.Zone = f.Text("zone", "")
-	for _, names := range [][]string{e.Zones, e.Kinds} {
-		for i, name := range names {
-			if index(names[:i], name) >= 0 {
-				f.Fault(fmt.Sprintf("%q twice among zones or kinds", name), "names that differ")
-			}
-		}
-	}
+	f.differ("zones", e.Zones)
+	f.differ("kinds", e.Kinds)
 	if e.Zone != "" && index(e.Zones, e.Zone) < 0 {
 		f.Sub("zone").Fault(strconv.Quote(e.Zone), "one of (zones ...)")
 	}
@@ -177,7 +178,7 @@
 				f.r.fault(n.Pos, n.String(), "an address and port")
 				continue
 			}
-			if _, port, err := net.SplitHostPort(raw(n)); err != nil || !isPort(port) {
+			if _, port, err := net.SplitHostPort(raw(n)); err != nil || api.Port(port) < 0 {
 				f.r.fault(n.Pos, n.String(), "an address and port, such as 127.0.0.1:9000")
 			}
 			e.Peers = append(e.Peers, raw(n))
@@ -387,7 +388,7 @@
 	}
 	g.Must("window")
 	m["release.window"] = float64(g.Span("window", 6*time.Second, time.Millisecond, hour))
-	num(g, "free", 1, 1, 1e6) // with less than one, no whole submission could be told from none
+	num(g, "free", 1, 1, 1e6) // with less than one, nothing could ever go to a trial: a submission is a whole one
 	span(g, "bake", 3*time.Second, day)
 	span(g, "vote-timeout", time.Second, hour)
 	num(g, "votes-back", 1, 0, 1e6)
--- a/config/list.go
+++ b/config/list.go
@@ -12,16 +12,7 @@
 	Release api.Release
 }
 
-// ReadList reads a list file. The error is Faults where the text is at fault.
-func ReadList(path string) (*List, error) {
-	r, err := ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return readList(r)
-}
-
-// ParseList is ReadList for a text in hand.
+// ParseList reads a list file's text; file is the name that faults give. The error is Faults where the text is at fault.
 func ParseList(file, text string) (*List, error) {
 	r, err := Read(file, text)
 	if err != nil {
@@ -50,7 +41,7 @@
 		out.Workers = append(out.Workers, api.Worker{ID: id, Address: w.address("address", true), Zone: w.Text("zone", ""),
 			Kind: w.Text("kind", ""), Cell: int(w.Int("cell", 0, 0, 1<<30)),
 			State:  w.OneOf("state", api.Up, api.Up, api.Draining, api.Gone),
-			Weight: w.Num("weight", 1, 0, 1e9), Build: int(w.Int("build", 1, 0, 65535)),
+			Weight: w.Num("weight", 1, 0, 1e9), Build: int(w.Int("build", 1, 0, api.MaxBuild)),
 			StartedAt: w.instant("started")})
 		w.Done()
 	}
@@ -61,7 +52,7 @@
 	if rel == nil { // told above
 		rel = &Form{r: r, name: "release", asked: map[string]bool{}, ghost: true}
 	}
-	out.Release = api.Release{Build: int(rel.Int("build", 1, 0, 65535)), Stage: int(rel.Int("stage", 0, 0, 1000)),
+	out.Release = api.Release{Build: int(rel.Int("build", 1, 0, api.MaxBuild)), Stage: int(rel.Int("stage", 0, 0, api.MaxStage)),
 		Phase: rel.OneOf("phase", api.Released, api.OnTrial, api.GoingBack, api.Released, api.Withdrawn),
 		Cap:   rel.Num("cap", 1, 0, 1), Since: rel.instant("since")}
 	rel.Done()
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -99,12 +98,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := New(mustPlan(t, ""), zap.NewNop())
-			if !p.heeds(sound) {
+			if !p.heeds(sound, func() {}) {
 				t.Fatal("sound news was not heeded")
 			}
 			next := sound
 			c.next(&next)
-			if got := p.heeds(next); got != c.want {
+			if got := p.heeds(next, func() {}); got != c.want {
 				t.Errorf("heeded: %t", got)
 			}
 			want := sound
@@ -120,13 +119,28 @@
 		p := New(mustPlan(t, ""), zap.NewNop())
 		gone := sound
 		gone.Phase, gone.Cap, gone.Since = api.Withdrawn, 0, 300
-		p.heeds(gone)
-		if p.heeds(sound) {
+		p.heeds(gone, func() {})
+		if p.heeds(sound, func() {}) {
 			t.Error("the trial is back in force")
 		}
 	})
 }
 
+// Danger: news that was in order when it was looked at would still reach a loop behind what comes at the same moment.
+func TestNewsIsPassedOnBeforeTheNextIsLookedAt(t *testing.T) {
+	p := New(mustPlan(t, ""), zap.NewNop())
+	passed := false
+	p.heeds(api.Release{Build: 2, Phase: api.OnTrial, Cap: 0.4}, func() {
+		if passed = true; p.mu.TryLock() {
+			p.mu.Unlock()
+			t.Error("other news could overtake it")
+		}
+	})
+	if !passed {
+		t.Error("not passed on")
+	}
+}
+
 func mustPlan(t *testing.T, extra string) *config.Edge {
 	t.Helper()
 	e, err := config.ParseEdge("t.sexp", fmt.Sprintf(plan, extra))
@@ -308,6 +322,22 @@
 	}
 }
 
+// Danger: a line that was not heeded must not spoil the list that is kept.
+func TestMalformedLineIsNotKept(t *testing.T) {
+	dir := t.TempDir()
+	p := New(mustPlan(t, fmt.Sprintf("(state %q)", dir)), zap.NewNop())
+	for _, state := range []string{api.Up, "", "resting", api.Draining} {
+		p.workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1), up("b", 1)}})
+		bad := up("a", 70000)
+		bad.State = state
+		p.workers(api.WorkersEvent{Type: api.Change, Now: 1, Workers: []api.Worker{bad}})
+		p.save(false)
+		if list, _ := New(mustPlan(t, fmt.Sprintf("(state %q)", dir)), zap.NewNop()).restore(); list == nil || len(list.Workers) != 2 {
+			t.Errorf("after a line of state %q: restored %v", state, list)
+		}
+	}
+}
+
 // Danger: two that write one file leave a mixture, and the next start refuses it or takes half.
 func TestSavesAtOnceLeaveAWholeFile(t *testing.T) {
 	dir := t.TempDir()
@@ -375,17 +405,12 @@
 	}
 	put(`(worker a (address "127.0.0.1:1")) (release (build 1))`)
 	s := newFileSource(path, zap.NewNop())
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	e := newEar()
-	go func() { s.Run(ctx, e); close(done) }()
+	e := hear(t, s)
 	await(t, e.lists)
 	put(`(worker a (address "127.0.0.1:1")) (worker b (address "127.0.0.1:2")) (release (build 1))`)
 	if got := await(t, e.lists); len(got.Workers) != 2 {
 		t.Errorf("told %+v", got)
 	}
-	stop()
-	<-done
 }
 
 // Addresses of sentries that may not talk do no harm.
@@ -405,10 +430,7 @@
 	}
 	asked := serveWatch(t, ln, `{"type":"whole","revision":5,"workers":[]}`, `{"type":"patch","revision":6}`, `{"type":"change","revision":7}`)
 	s := newAPISource("http://"+ln.Addr().String(), "edge-0", zap.NewNop())
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	e := newEar()
-	go func() { s.Run(ctx, e); close(done) }()
+	e := hear(t, s)
 	if got := await(t, e.lists); got.Revision != 5 {
 		t.Errorf("told %+v", got)
 	}
@@ -418,8 +440,6 @@
 	if got := await(t, e.lists); got.Type != api.Whole {
 		t.Errorf("told %+v after what was not known", got)
 	}
-	stop()
-	<-done
 }
 
 // Danger: a txn that the module has lost track of would never be answered. The host voids it at its expiry, and counts it.
--- a/edge/process.go
+++ b/edge/process.go
@@ -275,7 +275,11 @@
 			if !known {
 				continue
 			}
-			if w.State != api.Up {
+			switch w.State {
+			case api.Up:
+			case "": // Danger: kept as it is, it would have the whole list refused at the next start
+				held.State = api.Draining
+			default:
 				held.State = w.State
 			}
 			w = held
@@ -399,10 +403,11 @@
 		Phase: phases[e.Release.Phase], Age: logic.Nanos(max(0, e.Now-e.Release.Since))}
 }
 
-// heeds notes where the newest build stands, as pushed or in answer to a vote, and tells whether that may be passed on.
-// Danger: answers and pushes come on connections of their own, so either may have been overtaken. What began before
-// that which is in force, by the platform's clock, must not loosen it again; what tightens is always heeded.
-func (p *Process) heeds(r api.Release) bool {
+// heeds notes where the newest build stands, as pushed or in answer to a vote, and passes it on where it counts; it tells
+// whether it did. Danger: answers and pushes come on connections of their own, so either may have been overtaken. What
+// began before that which is in force, by the platform's clock, must not loosen it again; what tightens is always
+// heeded. It is passed on under the lock, or two that come at once would reach a loop in the other order.
+func (p *Process) heeds(r api.Release, pass func()) bool {
 	if err := r.Check(); err != nil {
 		p.log.Error("news of a release not heeded", zap.Error(err))
 		return false
@@ -414,6 +419,7 @@
 		(r.Cap > was.Cap || back(was.Phase) && !back(r.Phase)))
 	if !overtaken {
 		p.newest = r
+		pass()
 	}
 	p.mu.Unlock()
 	if overtaken {
@@ -426,13 +432,12 @@
 }
 
 func (p *Process) release(e api.ReleaseEvent) {
-	if !p.heeds(e.Release) {
-		return
-	}
 	n := newsOf(e, false)
-	for _, l := range p.loops {
-		l.post(func() { l.tellNews(n) })
-	}
+	p.heeds(e.Release, func() {
+		for _, l := range p.loops {
+			l.post(func() { l.tellNews(n) })
+		}
+	})
 }
 
 // saveSoon writes what is to outlive a restart; a storm of changes is written once.
@@ -507,9 +512,16 @@
 		e, err := l.p.source.Vote(ctx, api.Vote{Edge: l.p.plan.Name, Sentry: l.number, Verdict: verdicts[v],
 			Build: int(rel), Stage: stage})
 		news := newsOf(e, true)
+		pass := func() {
+			l.post(func() {
+				l.voting = false
+				l.tellNews(news)
+			})
+		}
+		if err == nil && l.p.heeds(e.Release, pass) {
+			return
+		}
 		switch {
-		case err == nil && l.p.heeds(e.Release):
-			news.Ending = logic.OK
 		case errors.Is(err, api.ErrMoot):
 			news.Ending = logic.Moot
 		case errors.Is(err, api.ErrFull):
@@ -519,10 +531,7 @@
 		default:
 			news.Ending = logic.Erred
 		}
-		l.post(func() {
-			l.voting = false
-			l.tellNews(news)
-		})
+		pass()
 	}()
 }
 
--- a/edge/source.go
+++ b/edge/source.go
@@ -206,7 +206,7 @@
 				seen = time.Time{}
 			}
 			text, err := os.ReadFile(s.path)
-			if err == nil && revision > 0 && bytes.Equal(text, last) {
+			if err == nil && last != nil && bytes.Equal(text, last) {
 				err = errSame
 			}
 			var list *config.List
--- a/edge/source_test.go
+++ b/edge/source_test.go
@@ -38,6 +38,15 @@
 func (e *ear) report(x api.Report)        { e.reports <- x }
 func (e *ear) tally(x api.Tally)          { e.tallies <- x }
 
+// hear runs a source until the test ends.
+func hear(t *testing.T, s Source) *ear {
+	e, done := newEar(), make(chan struct{})
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { s.Run(ctx, e); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return e
+}
+
 // await takes the next value, or fails.
 func await[T any](t *testing.T, c chan T) (v T) {
 	t.Helper()
@@ -140,10 +149,7 @@
 	}
 	write(`(worker a (address "127.0.0.1:1")) (release (build 1))`)
 	s := newFileSource(path, zap.NewNop())
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	e := newEar()
-	go func() { s.Run(ctx, e); close(done) }()
+	e := hear(t, s)
 	if got := await(t, e.lists); len(got.Workers) != 1 {
 		t.Errorf("told %+v", got)
 	}
@@ -161,8 +167,6 @@
 	if got := await(t, e.releases); got.Release.Cap != 0.1 || got.Release.Phase != api.OnTrial {
 		t.Errorf("told %+v", got)
 	}
-	stop()
-	<-done
 }
 
 func TestLoadReports(t *testing.T) {
