--- a/lab/platform.go
+++ b/lab/platform.go
@@ -28,6 +28,7 @@
 	http  *http.Server
 	url   string
 	group sync.WaitGroup
+	plays sync.WaitGroup // what is played in a state
 	quit  chan struct{}
 
 	mu       sync.Mutex
@@ -53,7 +54,8 @@
 	stepped  at
 	lists    map[string]api.Worker                 // as the last change left it
 	next     int                                   // offer
-	entered  func(state string)                    // told of each state, beside the platform; may be nil
+	entered  func(state string)                    // played in each state, which does not end before it does; may be nil
+	holds    int                                   // of them that are played
 	spoil    func(w http.ResponseWriter, line any) // has its way before each line of a watch is written; may be nil
 	backAt   map[int]at                            // when a build was called back
 	released map[int]at
@@ -133,6 +135,14 @@
 	p.group.Wait()
 }
 
+// settled waits for what is played in the last state: edges may be stopped by it. No other begins after.
+func (p *platform) settled() {
+	p.mu.Lock()
+	p.entered = nil
+	p.mu.Unlock()
+	p.plays.Wait()
+}
+
 // list notes a change of the list, seen after the list's delay. The lock is held, or nobody else is there yet.
 func (p *platform) list(delay time.Duration, w *worker, state string) {
 	x := api.Worker{ID: w.id, Address: w.address, Zone: "lab", Kind: "std", State: state, Weight: 1, Build: w.build.Number,
@@ -163,12 +173,24 @@
 	return "after release"
 }
 
+// enter has what is to be played in a state played beside the platform, which holds the state till then. The lock is held.
+func (p *platform) enter() {
+	if p.entered == nil {
+		return
+	}
+	state, entered := p.state(), p.entered
+	p.holds++
+	p.plays.Go(func() {
+		entered(state)
+		p.mu.Lock()
+		p.holds--
+		p.mu.Unlock()
+	})
+}
+
 // tell notes news of the release, told after the news' delay.
 func (p *platform) tell(delay time.Duration) {
-	if p.entered != nil {
-		state := p.state()
-		p.group.Go(func() { p.entered(state) })
-	}
+	p.enter()
 	cap := 0.0
 	switch p.phase {
 	case api.OnTrial:
@@ -217,7 +239,7 @@
 // step is one look at everything. The lock is held.
 func (p *platform) step() {
 	now := p.now()
-	if p.next < len(p.day.Offers) && now >= p.day.Offers[p.next].At && p.phase != api.GoingBack {
+	if p.next < len(p.day.Offers) && now >= p.day.Offers[p.next].At && p.phase != api.GoingBack && p.holds == 0 {
 		if p.phase == api.OnTrial { // one on trial when the next is due is taken off
 			p.back("the next build is due")
 			return
@@ -236,7 +258,7 @@
 		p.stepTrial(now, passed)
 	case api.GoingBack:
 		for _, s := range p.places {
-			if s.new != nil || s.old == nil || s.boot != nil {
+			if s.new != nil || s.old == nil || s.boot != nil || p.holds > 0 {
 				return
 			}
 		}
@@ -370,6 +392,7 @@
 		needBack = 1
 	}
 	switch {
+	case p.holds > 0:
 	case back >= needBack:
 		p.back("voted back")
 	case moves:
@@ -437,7 +460,7 @@
 	}
 	if rec.Counted {
 		p.standing[v.Sentry] = rec
-		if v.Verdict == api.VoteBack && p.phase == api.Released && !stalled {
+		if v.Verdict == api.VoteBack && p.phase == api.Released && !stalled && p.holds == 0 {
 			p.back("voted back after its release")
 		}
 	}
--- a/lab/run.go
+++ b/lab/run.go
@@ -25,7 +25,7 @@
 	Edge func(settingsPath string) *exec.Cmd // the command of one edge
 	Live func(Snapshot)                      // told once a second, if not nil
 
-	entered func(r *run, state string) // told of each state of the platform, if not nil
+	entered func(r *run, state string) // played in each state of the platform from the day's begin on, if not nil
 }
 
 // Snapshot is what a run looks like at a moment.
@@ -87,9 +87,6 @@
 	r.park = newPark(q.Day, r.rec, r.now, host)
 	r.platform = newPlatform(q.Day, r.rec, r.park, r.now)
 	r.clients = newClients(q.Day, r.rec, r.now, r.platform.flag)
-	if q.entered != nil {
-		r.platform.entered = func(state string) { q.entered(r, state) }
-	}
 	defer r.park.close()
 	if err := r.platform.start(host); err != nil {
 		return nil, err
@@ -101,6 +98,12 @@
 	}
 	// The day begins when all edges serve.
 	r.rebase()
+	if q.entered != nil {
+		r.platform.mu.Lock()
+		r.platform.entered = func(state string) { q.entered(r, state) }
+		r.platform.enter()
+		r.platform.mu.Unlock()
+	}
 	r.group.Go(r.troubles)
 	if q.Live != nil {
 		r.group.Go(r.live)
@@ -116,6 +119,7 @@
 	close(r.quit)
 	<-done
 	r.group.Wait()
+	r.platform.settled()
 	r.rec.builds = r.platform.summary()
 	r.rec.behind = time.Duration(r.clients.behind.Load())
 	return r.rec, err
--- a/lab/sockets_test.go
+++ b/lab/sockets_test.go
@@ -71,13 +71,13 @@
 		if err == nil {
 			err = os.WriteFile(path, text[:len(text)/2], 0o644)
 		}
-		return r.startEdge(p) == nil && err == nil
+		return r.comesUp(p) && err == nil
 	}, "the kept list is refused", true},
 	{"killed, its kept list whole", func(r *run, state string) bool {
-		return r.endEdge(r.procs[1], syscall.SIGKILL) == nil && r.startEdge(r.procs[1]) == nil
+		return r.endEdge(r.procs[1], syscall.SIGKILL) == nil && r.comesUp(r.procs[1])
 	}, "last list restored", true},
 	{"rolled", func(r *run, state string) bool {
-		return r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.startEdge(r.procs[1]) == nil
+		return r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.comesUp(r.procs[1])
 	}, "stopped", true},
 	{"settings half written, then whole and changed", func(r *run, state string) bool {
 		p := r.procs[1]
@@ -95,7 +95,7 @@
 			changed = strings.Replace(changed, "(free 2)", "(free 3)", 1)
 		}
 		os.WriteFile(p.settings, []byte(changed), 0o644)
-		return r.startEdge(p) == nil && refused && changed != string(text)
+		return r.comesUp(p) && refused && changed != string(text)
 	}, "serving", true},
 	{"the folder of state takes nothing", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "edge-1.list.json.new")
@@ -139,6 +139,11 @@
 	}, "", false},
 }
 
+// comesUp starts an edge, and tells whether it serves before long. An edge that is stopped before would not drain.
+func (r *run) comesUp(p *proc) bool {
+	return r.startEdge(p) == nil && r.awaitReady(context.Background(), p, 20*time.Second) == nil
+}
+
 func writeLine(w http.ResponseWriter, line any) { json.NewEncoder(w).Encode(line) }
 
 // spoils lets something happen to the lines of watches for a while.
@@ -164,8 +169,8 @@
 			build, length, script string
 			states                []string
 		}{
-			{"good", "9s", "(offer (at 900ms) (flaw good))", []string{"no trial", "first stage", "stage change", "last stage", "after release"}},
-			{"bad", "16s", "(offer (at 300ms) (flaw errors) (strength 0.7))", []string{"first stage", "going back"}},
+			{"good", "16s", "(offer (at 900ms) (flaw good))", []string{"no trial", "first stage", "stage change", "last stage", "after release"}},
+			{"bad", "16s", "(offer (at 300ms) (flaw errors) (strength 0.7))", []string{"first stage", "going back", "withdrawn"}},
 		} {
 			t.Run(row.name+", "+c.build+" build", func(t *testing.T) {
 				t.Parallel()
@@ -175,74 +180,42 @@
 					t.Fatal(err)
 				}
 				dir := t.TempDir()
-				var mu, turn sync.Mutex
-				struck := map[string]bool{}
-				strike := func(r *run, state string) {
-					turn.Lock() // one at a time
-					defer turn.Unlock()
-					select {
-					case <-r.quit:
+				struck := map[string]bool{} // one state is played after another
+				r := &Runner{Day: day, Out: dir, Edge: func(settings string) *exec.Cmd {
+					cmd := exec.Command(os.Args[0], settings)
+					cmd.Env = append(os.Environ(), "LAB_EDGE=1")
+					return cmd
+				}}
+				r.entered = func(r *run, state string) {
+					if !r.sleep(r.now() + 100*ms) { // the state is under way
 						return
-					default:
 					}
-					struckIn := []string{state}
 					var beside sync.WaitGroup
+					drained := false
 					if state == "stage change" && !row.ends { // an edge drains and starts anew meanwhile
 						beside.Go(func() {
-							if r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.startEdge(r.procs[1]) == nil {
-								struckIn = append(struckIn, "drain of the edge")
-							}
+							drained = r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.comesUp(r.procs[1])
 						})
 					}
 					did := row.does(r, state)
 					beside.Wait()
-					if did {
-						mu.Lock()
-						for _, s := range struckIn {
-							struck[s] = true
-						}
-						mu.Unlock()
-					}
-				}
-				r := &Runner{Day: day, Out: dir, Edge: func(settings string) *exec.Cmd {
-					cmd := exec.Command(os.Args[0], settings)
-					cmd.Env = append(os.Environ(), "LAB_EDGE=1")
-					return cmd
-				}}
-				first := true
-				r.entered = func(r *run, state string) {
-					if state == "no trial" {
-						mu.Lock()
-						again := !first
-						first = false
-						mu.Unlock()
-						if again {
-							return
-						}
-						for len(r.procs) < day.Sentries || r.offset.Load() == 0 { // the day has not begun
-							select {
-							case <-r.quit:
-								return
-							case <-time.After(10 * ms):
-							}
-						}
-						r.sleep(200 * ms)
-					}
-					strike(r, state)
+					r.platform.mu.Lock()
+					still := r.platform.state() == state
+					r.platform.mu.Unlock()
+					struck[state] = struck[state] || did && still
+					struck["drain of the edge"] = struck["drain of the edge"] || did && still && drained
 				}
 				rec, err := r.Run(context.Background())
 				if err != nil {
 					t.Fatal(err)
 				}
-				mu.Lock()
-				defer mu.Unlock()
 				states := c.states
 				if !row.ends && c.build == "good" {
 					states = append([]string{"drain of the edge"}, states...)
 				}
 				for _, s := range states {
 					if !struck[s] {
-						t.Errorf("it did not strike in the state %q; only in %v\n%s", s, struck, strings.Join(rec.Marks, "\n"))
+						t.Errorf("it did not strike in the state %q, only in %v\n%s", s, struck, strings.Join(rec.Marks, "\n"))
 					}
 				}
 				for _, v := range Check(day, rec) {
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -557,11 +557,16 @@
 		d.hits["list late"]++
 	}
 	e := w.entry()
+	d.toAll(func(s *vsentry) at { return d.listLate + at(s.n)*ms }, func(s *vsentry) { s.tellChange(e) })
+}
+
+// toAll tells all sentries something after a while, those that still live the same life by then.
+func (d *vday) toAll(after func(*vsentry) at, tell func(*vsentry)) {
 	for _, s := range d.sentries {
 		life := s.life
-		d.in(d.listLate+at(s.n)*ms, func() {
+		d.in(after(s), func() {
 			if s.life == life {
-				s.tellChange(e)
+				tell(s)
 			}
 		})
 	}
@@ -656,7 +661,7 @@
 	return n
 }
 
-// news tells all sentries where the release stands, after the news' delay.
+// push tells all sentries where the release stands, after the news' delay.
 func (d *vday) push() {
 	if d.stalled {
 		d.hits["news lost"]++
@@ -666,14 +671,7 @@
 		d.hits["news late"]++
 	}
 	n := d.present()
-	for _, s := range d.sentries {
-		life := s.life
-		d.in(d.newsLate, func() {
-			if s.life == life {
-				s.tellNews(n, true)
-			}
-		})
-	}
+	d.toAll(func(*vsentry) at { return d.newsLate }, func(s *vsentry) { s.tellNews(n, true) })
 }
 
 // moves changes where the release stands.
