Faults on sockets: a list file cut and wrong, settings wrong, the next build

Edges read list and news from a file that is written as the platform would tell; it is cut between forms and then wrong in every state.

--- a/lab/platform.go
+++ b/lab/platform.go
@@ -157,6 +157,8 @@
 // state names where the platform stands, as reviews and tests do.
 func (p *platform) state() string {
 	switch {
+	case p.phase == api.OnTrial && p.stage == 0 && p.build > p.before+1:
+		return "next build after one withdrawn"
 	case p.phase == api.OnTrial && p.stage == 0:
 		return "first stage"
 	case p.phase == api.OnTrial && p.stage == len(p.day.Stages)-1:
--- a/lab/run.go
+++ b/lab/run.go
@@ -25,6 +25,7 @@
 	Edge func(settingsPath string) *exec.Cmd // the command of one edge
 	Live func(Snapshot)                      // told once a second, if not nil
 
+	begins  func(r *run)               // called when the platform serves and no edge runs, if not nil
 	entered func(r *run, state string) // played in each state of the platform from the day's begin on, if not nil
 }
 
@@ -69,6 +70,7 @@
 	group    sync.WaitGroup
 	quit     chan struct{}
 	rng      *rand.Rand
+	hand     sync.Mutex // of whoever writes a list file
 }
 
 var runs atomic.Int64 // of this process, for addresses that differ
@@ -92,6 +94,9 @@
 		return nil, err
 	}
 	defer r.platform.close()
+	if q.begins != nil {
+		q.begins(r)
+	}
 	defer r.stopEdges()
 	if err := r.startEdges(ctx, host); err != nil {
 		return nil, err
--- a/lab/sockets_test.go
+++ b/lab/sockets_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,7 @@
 	does func(r *run, state string) bool
 	logs string // what an edge must have said of it
 	ends bool   // it stops an edge by itself
+	file bool   // the edges read list and news from a file
 }{
 	{"news and lines malformed", func(r *run, state string) bool {
 		r.spoils(400*ms, func(w http.ResponseWriter, line any) {
@@ -45,7 +47,7 @@
 			}
 		})
 		return true
-	}, "not heeded", false},
+	}, "not heeded", false, false},
 	{"watches cut in the middle of a line", func(r *run, state string) bool {
 		var once sync.Once
 		cut := false
@@ -60,49 +62,52 @@
 			}
 		})
 		return cut
-	}, "watch broken", false},
+	}, "watch broken", false, false},
 	{"killed, its kept list half written", func(r *run, state string) bool {
 		p := r.procs[1]
-		if r.endEdge(p, syscall.SIGKILL) != nil {
-			return false
-		}
 		path := filepath.Join(r.Out, "state", "edge-1.list.json")
 		text, err := os.ReadFile(path)
-		if err == nil {
-			err = os.WriteFile(path, text[:len(text)/2], 0o644)
+		for err != nil && r.sleep(r.now()+10*ms) { // it is first kept a moment after it is first told
+			text, err = os.ReadFile(path)
+		}
+		if err != nil || r.endEdge(p, syscall.SIGKILL) != nil {
+			return false
 		}
+		err = os.WriteFile(path, text[:len(text)/2], 0o644)
 		return r.comesUp(p) && err == nil
-	}, "the kept list is refused", true},
+	}, "the kept list is refused", true, false},
 	{"killed, its kept list whole", func(r *run, state string) bool {
 		return r.endEdge(r.procs[1], syscall.SIGKILL) == nil && r.comesUp(r.procs[1])
-	}, "last list restored", true},
+	}, "last list restored", true, false},
 	{"rolled", func(r *run, state string) bool {
 		return r.endEdge(r.procs[1], syscall.SIGTERM) == nil && r.comesUp(r.procs[1])
-	}, "stopped", true},
-	{"settings half written, then whole and changed", func(r *run, state string) bool {
+	}, "stopped", true, false},
+	{"settings half written, wrong, then whole and changed", func(r *run, state string) bool {
 		p := r.procs[1]
 		text, err := os.ReadFile(p.settings)
 		if err != nil || r.endEdge(p, syscall.SIGTERM) != nil {
 			return false
 		}
-		os.WriteFile(p.settings, text[:len(text)*2/3], 0o644)
-		cmd := r.Edge(p.settings)
-		said, err := cmd.CombinedOutput()
-		var exit *exec.ExitError
-		refused := errors.As(err, &exit) && exit.ExitCode() == 2 && strings.Contains(string(said), "edge-1.sexp:")
+		refused := true
+		for _, wrong := range []string{string(text[:len(text)*2/3]), strings.Replace(string(text), "(window ", "(window x", 1)} {
+			os.WriteFile(p.settings, []byte(wrong), 0o644)
+			said, err := r.Edge(p.settings).CombinedOutput()
+			var exit *exec.ExitError
+			refused = refused && errors.As(err, &exit) && exit.ExitCode() == 2 && strings.Contains(string(said), "edge-1.sexp:")
+		}
 		changed := strings.Replace(string(text), "(free 3)", "(free 2)", 1)
 		if changed == string(text) {
 			changed = strings.Replace(changed, "(free 2)", "(free 3)", 1)
 		}
 		os.WriteFile(p.settings, []byte(changed), 0o644)
 		return r.comesUp(p) && refused && changed != string(text)
-	}, "serving", true},
+	}, "serving", true, false},
 	{"the folder of state takes nothing", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "edge-1.list.json.new")
 		err := os.Mkdir(path, 0o755)
 		r.sleep(r.now() + 600*ms)
 		return err == nil && os.Remove(path) == nil
-	}, "could not be kept", false},
+	}, "could not be kept", false, false},
 	{"the folder of traces is away", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "trace")
 		err := os.Rename(path, path+".away")
@@ -122,7 +127,21 @@
 			r.platform.mark("%v", err)
 		}
 		return err == nil
-	}, "", false},
+	}, "", false, false},
+	{"list file cut between forms, then wrong", func(r *run, state string) bool {
+		r.hand.Lock() // it writes nothing else meanwhile
+		defer r.hand.Unlock()
+		path := filepath.Join(r.Out, "list.sexp")
+		text, err := os.ReadFile(path)
+		half := string(text[:strings.LastIndex(string(text), "(worker")])
+		for _, bad := range []string{half, strings.Replace(string(text), "(build ", "(build x", 1)} {
+			if err == nil {
+				err = os.WriteFile(path, []byte(bad), 0o644)
+			}
+			r.sleep(r.now() + 1200*ms) // an edge looks once a second
+		}
+		return err == nil && strings.Contains(half, "(worker")
+	}, "list file refused", false, true},
 	{"answers that are no HTTP", func(r *run, state string) bool {
 		ws := r.workers([]int{0, 4})
 		set := func(share float64) {
@@ -136,7 +155,64 @@
 		r.sleep(r.now() + 400*ms)
 		set(0)
 		return len(ws) > 0
-	}, "", false},
+	}, "", false, false},
+}
+
+var apiSource = regexp.MustCompile(`\(source \(api "[^"]*"\)\)`)
+
+// writeList writes list and news to a file for all edges as a hand does that knows what the platform would tell, some
+// times a second, and notes it as told.
+func (r *run) writeList() {
+	p := r.platform
+	for r.sleep(r.now() + 100*ms) {
+		r.listOnce(p)
+	}
+}
+
+func (r *run) listOnce(p *platform) {
+	r.hand.Lock()
+	defer r.hand.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	last := map[string]api.Worker{}
+	var ids []string
+	for _, c := range p.changes {
+		if c.at > now {
+			break
+		}
+		if _, known := last[c.worker.ID]; !known {
+			ids = append(ids, c.worker.ID)
+		}
+		last[c.worker.ID] = c.worker
+	}
+	e := p.present()
+	var text strings.Builder
+	for i := range p.day.Sentries {
+		p.rec.told(Told{Edge: i, At: now, Whole: true})
+	}
+	for _, id := range ids {
+		w := last[id]
+		if w.State == api.Gone {
+			continue
+		}
+		started := ""
+		if w.StartedAt > 0 {
+			started = fmt.Sprintf(" (started %s)", r.began.Add(at(r.offset.Load())+at(w.StartedAt)).UTC().Format(time.RFC3339Nano))
+		}
+		fmt.Fprintf(&text, "(worker %s (address %q) (zone lab) (kind std) (state %s) (build %d)%s)\n", id, w.Address, w.State, w.Build, started)
+		for i := range p.day.Sentries {
+			p.rec.told(Told{Edge: i, At: now, Worker: id, State: w.State, Started: at(w.StartedAt), Build: w.Build})
+		}
+	}
+	fmt.Fprintf(&text, "(release (build %d) (stage %d) (phase %s) (cap %g))\n", e.Release.Build, e.Release.Stage, e.Release.Phase, e.Release.Cap)
+	for i := range p.day.Sentries {
+		p.toldRelease(i, e)
+	}
+	path := filepath.Join(r.Out, "list.sexp")
+	if os.WriteFile(path+".new", []byte(text.String()), 0o644) == nil {
+		os.Rename(path+".new", path)
+	}
 }
 
 // comesUp starts an edge, and tells whether it serves before long. An edge that is stopped before would not drain.
@@ -170,22 +246,37 @@
 			states                []string
 		}{
 			{"good", "16s", "(offer (at 900ms) (flaw good))", []string{"no trial", "first stage", "stage change", "last stage", "after release"}},
-			{"bad", "16s", "(offer (at 300ms) (flaw errors) (strength 0.7))", []string{"first stage", "going back", "withdrawn"}},
+			{"bad", "16s", "(offer (at 300ms) (flaw errors) (strength 0.7)) (offer (at 5s) (flaw good))",
+				[]string{"first stage", "going back", "withdrawn", "next build after one withdrawn"}},
 		} {
 			t.Run(row.name+", "+c.build+" build", func(t *testing.T) {
 				t.Parallel()
 				text := strings.Replace(fmt.Sprintf(shortDay, row.name, c.length, c.script), "(window", "(push 300ms) (window", 1)
+				dir := t.TempDir()
+				source := ""
+				if row.file { // nobody takes votes there, and it is read once a second
+					text = strings.NewReplacer("(bake", "(votes clocked) (stage-time 700ms) (grace 1500ms) (bake", `(length 16s)`, `(length 25s)`).Replace(text)
+					source = fmt.Sprintf("(source (file %q))", filepath.Join(dir, "list.sexp"))
+				}
 				day, err := ParseDay("short.sexp", text)
 				if err != nil {
 					t.Fatal(err)
 				}
-				dir := t.TempDir()
 				struck := map[string]bool{} // one state is played after another
 				r := &Runner{Day: day, Out: dir, Edge: func(settings string) *exec.Cmd {
+					if data, err := os.ReadFile(settings); row.file && err == nil {
+						os.WriteFile(settings, apiSource.ReplaceAll(data, []byte(source)), 0o644)
+					}
 					cmd := exec.Command(os.Args[0], settings)
 					cmd.Env = append(os.Environ(), "LAB_EDGE=1")
 					return cmd
 				}}
+				if row.file {
+					r.begins = func(r *run) {
+						r.listOnce(r.platform)
+						r.group.Go(r.writeList)
+					}
+				}
 				r.entered = func(r *run, state string) {
 					if !r.sleep(r.now() + 100*ms) { // the state is under way
 						return
