The module: the guard against overtaken news says each case once

Cause: the condition of F1 named the build twice, once as 'at most' and once as 'less'. Change: an earlier build, or the same one that no longer goes back. The same truth table.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -632,7 +632,7 @@
 func (s *Sentry) News(now Nanos, n News) {
 	s.now = now
 	// Danger: an answer to a vote may trail the news. It must not put a build that goes back on trial again.
-	if n.Ending != OK || n.Answer && s.news.back() && n.Rel <= s.news.Rel && (n.Rel < s.news.Rel || !n.back()) {
+	if n.Ending != OK || n.Answer && s.news.back() && (n.Rel < s.news.Rel || n.Rel == s.news.Rel && !n.back()) {
 		return
 	}
 	old := s.capNow()
