The edge: a list that could not be kept is kept later, a file that cannot be read is read again

Ruled out: a save that fails harms no list kept before (TestStateThatTakesNothing); an orderly stop writes once more.

At fault: save in edge/process.go named the error and went on; fileSource.Run remembered the time before it had read.

Change: a save that failed is tried once a second, and both turns are said once. A file that cannot be read is looked at anew each second and named once. Two fields of the file source that nothing used go.

Now they wait for what they do to be seen: the failed save in the edge's log, and that it is made up for afterwards.

--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dunegrade/api"
 	"dunegrade/config"
@@ -32,6 +33,18 @@
 	return out
 }
 
+// until looks again till something holds, or fails.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	look := time.NewTicker(5 * time.Millisecond)
+	defer look.Stop()
+	for end := time.Now().Add(10 * time.Second); !holds(); <-look.C {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
 func up(id string, build int) api.Worker {
 	return api.Worker{ID: id, Address: "127.0.0.1:1", State: api.Up, Build: build, Weight: 1}
 }
@@ -393,6 +406,27 @@
 	os.Remove(r.p.statePath() + ".new")
 }
 
+// Danger: what changed while the folder took nothing stays unknown to the next start if nothing else changes, and a
+// worker that drains is up for it.
+func TestAListThatCouldNotBeKeptIsKeptLater(t *testing.T) {
+	core, said := observer.New(zap.InfoLevel)
+	p := New(mustPlan(t, fmt.Sprintf("(state %q)", t.TempDir())), zap.New(core))
+	t.Cleanup(p.lastSave)
+	if err := os.Mkdir(p.statePath()+".new", 0o700); err != nil {
+		t.Fatal(err)
+	}
+	p.workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1)}})
+	until(t, "it is said", func() bool { return said.FilterMessage("the last list could not be kept").Len() > 0 })
+	if err := os.Remove(p.statePath() + ".new"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it is kept", func() bool { _, err := os.Stat(p.statePath()); return err == nil })
+	until(t, "that is said", func() bool { return said.FilterMessage("the last list is kept again").Len() > 0 })
+	if n := said.Len(); n != 2 {
+		t.Errorf("%d lines, wanted one for each change", n)
+	}
+}
+
 // Danger: a file system stamps changes coarsely, so the half that a read has met may bear the time of the whole.
 func TestAChangeOfTheSameTimeIsRead(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "list.sexp")
@@ -413,6 +447,38 @@
 	}
 }
 
+// Danger: a list file that cannot be read for a moment may come back with the time it had, and change nothing but its text.
+func TestAListFileThatCannotBeReadIsTriedAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list.sexp")
+	stamp := time.Now().Add(-time.Hour)
+	dated := func() {
+		if err := os.Chtimes(path, stamp, stamp); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.Mkdir(path, 0o700); err != nil { // is there, and cannot be read
+		t.Fatal(err)
+	}
+	dated()
+	core, said := observer.New(zap.ErrorLevel)
+	e := hear(t, newFileSource(path, zap.New(core)))
+	until(t, "it is said", func() bool { return said.FilterMessage("list file cannot be read").Len() > 0 })
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	write(t, path+".new", `(worker a (address "127.0.0.1:1")) (release (build 1))`)
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+	dated()
+	if got := await(t, e.lists); len(got.Workers) != 1 {
+		t.Errorf("told %+v", got)
+	}
+	if n := said.Len(); n != 1 {
+		t.Errorf("said %d times that it cannot be read, wanted once", n)
+	}
+}
+
 // Addresses of sentries that may not talk do no harm.
 func TestPeersWithoutMessages(t *testing.T) {
 	w := newStub(t, echo)
--- a/edge/process.go
+++ b/edge/process.go
@@ -56,6 +56,7 @@
 	ahead  int64       // of the platform's clock before ours, when it last told the list
 	saving *time.Timer
 	closed bool // nothing is saved any more
+	unkept bool // the last save failed
 	disk   sync.Mutex
 	listed atomic.Bool
 }
@@ -647,8 +648,19 @@
 	if err == nil {
 		err = replaceFile(p.statePath(), data)
 	}
-	if err != nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failed := err != nil
+	if failed && !p.closed && p.saving == nil { // Danger: else the next start would not know of it until something else changes
+		p.saving = time.AfterFunc(time.Second, func() { p.save(false) })
+	}
+	if failed == p.unkept {
+		return
+	}
+	if p.unkept = failed; failed {
 		p.log.Warn("the last list could not be kept", zap.Error(err))
+	} else {
+		p.log.Info("the last list is kept again", zap.Int("workers", len(k.Workers)))
 	}
 }
 
--- a/edge/source.go
+++ b/edge/source.go
@@ -167,9 +167,6 @@
 	path  string
 	log   *zap.Logger
 	again chan struct{}
-
-	mu   sync.Mutex
-	last api.ReleaseEvent
 }
 
 func newFileSource(path string, log *zap.Logger) *fileSource {
@@ -194,7 +191,8 @@
 
 func (s *fileSource) Run(ctx context.Context, to hearer) {
 	var seen time.Time // the change that was read when it was old enough
-	var last []byte
+	var last []byte    // what was read then, nil: nothing yet
+	away := false      // it could not be read
 	revision := uint64(0)
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
@@ -205,25 +203,20 @@
 			if seen = info.ModTime(); time.Since(seen) < settled {
 				seen = time.Time{}
 			}
-			text, err := os.ReadFile(s.path)
-			if err == nil && last != nil && bytes.Equal(text, last) {
-				err = errSame
-			}
-			var list *config.List
-			if err == nil {
+			var text []byte
+			if text, err = os.ReadFile(s.path); err == nil && (last == nil || !bytes.Equal(text, last)) {
 				last = text
-				list, err = config.ParseList(s.path, string(text))
-			}
-			switch {
-			case err == nil:
 				revision++
-				now := time.Now().UnixNano()
-				to.workers(api.WorkersEvent{Type: api.Whole, Revision: revision, Now: now, Workers: list.Workers})
-				to.release(api.ReleaseEvent{Type: api.Whole, Revision: revision, Now: now, Release: list.Release})
-			case !errors.Is(err, errSame): // the list held so far stays
-				s.log.Error("list file refused", zap.Error(err))
+				s.tell(to, revision, text)
 			}
 		}
+		if err != nil {
+			seen = time.Time{} // Danger: it may be back with the time it had
+			if !away {
+				s.log.Error("list file cannot be read", zap.Error(err))
+			}
+		}
+		away = err != nil
 		select {
 		case <-ctx.Done():
 			return
@@ -234,4 +227,14 @@
 	}
 }
 
-var errSame = errors.New("the text is that of the last read")
+// tell hands on what a file's text says; one that is refused leaves in force what was told before.
+func (s *fileSource) tell(to hearer, revision uint64, text []byte) {
+	list, err := config.ParseList(s.path, string(text))
+	if err != nil {
+		s.log.Error("list file refused", zap.Error(err))
+		return
+	}
+	now := time.Now().UnixNano()
+	to.workers(api.WorkersEvent{Type: api.Whole, Revision: revision, Now: now, Workers: list.Workers})
+	to.release(api.ReleaseEvent{Type: api.Whole, Revision: revision, Now: now, Release: list.Release})
+}
--- a/lab/sockets_test.go
+++ b/lab/sockets_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,12 +31,13 @@
 	file bool   // the edges read list and news from a file
 }{
 	{"news and lines malformed", func(r *run, state string) bool {
-		r.spoils(400*ms, func(w http.ResponseWriter, line any) {
+		return r.spoils(func(w http.ResponseWriter, line any, done func()) {
 			switch e := line.(type) {
 			case api.ReleaseEvent:
 				bad := e
 				bad.Release.Cap = 40
 				writeLine(w, bad)
+				done()
 			case api.WorkersEvent:
 				bad := e
 				bad.Workers = append([]api.Worker(nil), e.Workers...)
@@ -46,22 +49,19 @@
 				}
 			}
 		})
-		return true
 	}, "not heeded", false, false},
 	{"watches cut in the middle of a line", func(r *run, state string) bool {
 		var once sync.Once
-		cut := false
-		r.spoils(400*ms, func(w http.ResponseWriter, line any) {
+		return r.spoils(func(w http.ResponseWriter, line any, done func()) {
 			if _, ok := line.(api.ReleaseEvent); ok {
 				once.Do(func() {
-					cut = true
 					fmt.Fprint(w, `{"type":"whole","revision":99,"release":{"build":2,"phase":"released","cap":1`)
 					w.(http.Flusher).Flush()
+					done()
 					panic(http.ErrAbortHandler)
 				})
 			}
 		})
-		return cut
 	}, "watch broken", false, false},
 	{"killed, its kept list half written", func(r *run, state string) bool {
 		p := r.procs[1]
@@ -104,9 +104,52 @@
 	}, "serving", true, false},
 	{"the folder of state takes nothing", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "edge-1.list.json.new")
+		said := func() int {
+			log, err := os.ReadFile(filepath.Join(r.Out, "edge-1.log"))
+			if err != nil {
+				return 0
+			}
+			return strings.Count(string(log), "could not be kept")
+		}
+		before := said()
 		err := os.Mkdir(path, 0o755)
-		r.sleep(r.now() + 600*ms)
-		return err == nil && os.Remove(path) == nil
+		for errors.Is(err, fs.ErrExist) && r.sleep(r.now()+ms) { // the edge is writing there just now
+			err = os.Mkdir(path, 0o755)
+		}
+		if err != nil {
+			r.platform.mark("%v", err)
+			return false
+		}
+		r.platform.mu.Lock()
+		for _, s := range r.platform.places { // a line that is told again is kept again, in a state without others too
+			if s.old != nil {
+				r.platform.list(0, s.old, api.Up)
+				break
+			}
+			if s.new != nil {
+				r.platform.list(0, s.new, api.Up)
+				break
+			}
+		}
+		r.platform.mu.Unlock()
+		for said() == before && r.sleep(r.now()+10*ms) {
+		}
+		kept := func() (at time.Time) { // zero: nothing yet
+			if info, err := os.Stat(strings.TrimSuffix(path, ".new")); err == nil {
+				at = info.ModTime()
+			}
+			return at
+		}
+		old, hit := kept(), said() > before
+		if os.Remove(path) != nil {
+			return false
+		}
+		for kept().Equal(old) { // what could not be kept is kept now, by itself
+			if !r.sleep(r.now() + 10*ms) {
+				return false
+			}
+		}
+		return hit
 	}, "could not be kept", false, false},
 	{"the folder of traces is away", func(r *run, state string) bool {
 		path := filepath.Join(r.Out, "state", "trace")
@@ -222,16 +265,20 @@
 
 func writeLine(w http.ResponseWriter, line any) { json.NewEncoder(w).Encode(line) }
 
-// spoils lets something happen to the lines of watches for a while.
-func (r *run) spoils(span time.Duration, how func(http.ResponseWriter, any)) {
+// spoils lets something happen to the lines of watches for a while, and till it is done; false: it was not.
+func (r *run) spoils(how func(w http.ResponseWriter, line any, done func())) bool {
+	var done atomic.Bool // watches are written beside us
 	set := func(how func(http.ResponseWriter, any)) {
 		r.platform.mu.Lock()
 		r.platform.spoil = how
 		r.platform.mu.Unlock()
 	}
-	set(how)
-	r.sleep(r.now() + span)
+	set(func(w http.ResponseWriter, line any) { how(w, line, func() { done.Store(true) }) })
+	r.sleep(r.now() + 400*ms)
+	for !done.Load() && r.sleep(r.now()+10*ms) {
+	}
 	set(nil)
+	return done.Load()
 }
 
 // TestFaultsAgainstStagesOnSockets plays two days for each trouble, one with a good build and one with a bad one, and has
