The edge: that no connection can be accepted is said once

At fault: the loop in accept (edge/process.go). Change: one line at the first failure, one with their count when connections are taken again. Before: TestAcceptWithoutDescriptorsIsSaidOnce finds five lines for five failures; after: two.

--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -508,6 +509,50 @@
 	}
 }
 
+// starved is a listener that has no descriptors left, as often as told; then it takes connections again.
+type starved struct {
+	net.Listener
+	times int
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	if s.times--; s.times >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return s.Listener.Accept()
+}
+
+// Danger: a process without descriptors fails to accept a hundred times a second, and would fill the disk with saying so.
+func TestAcceptWithoutDescriptorsIsSaidOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, said := observer.New(zap.InfoLevel)
+	p := New(mustPlan(t, ""), zap.New(core))
+	p.plan.Door.Connections = 0 // what is taken is closed at once
+	p.listener = &starved{ln, 5}
+	done := make(chan struct{})
+	go func() { p.accept(); close(done) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection was not taken and closed")
+	}
+	ln.Close()
+	<-done
+	var lines []string
+	for _, l := range said.All() {
+		lines = append(lines, fmt.Sprint(l.Message, l.ContextMap()["failed"]))
+	}
+	if got := strings.Join(lines, ", "); got != "accept failed<nil>, accepts again5" {
+		t.Errorf("said %s", got)
+	}
+}
+
 // Danger: a txn that the module has lost track of would never be answered. The host voids it at its expiry, and counts it.
 func TestHostAnswersWhatTheModuleForgot(t *testing.T) {
 	asked := make(chan struct{}, 1)
--- a/edge/process.go
+++ b/edge/process.go
@@ -169,17 +169,24 @@
 
 // accept hands each new connection to the loop that has fewest.
 func (p *Process) accept() {
+	failed := 0 // in a row
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			// Out of descriptors, most likely: going on at once would spin.
-			p.log.Warn("accept failed", zap.Error(err))
+			// Out of descriptors, most likely: going on at once would spin, and a line for each would fill the disk.
+			if failed++; failed == 1 {
+				p.log.Warn("accept failed", zap.Error(err))
+			}
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
+		if failed > 0 {
+			p.log.Info("accepts again", zap.Int("failed", failed))
+			failed = 0
+		}
 		if p.open.Load() >= int64(p.plan.Door.Connections) {
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
