Traces: a start waits for the lock of its own life before, which may outlive a kill

Ruled out: a tail that cannot be read (it was read a moment before), a lock held by a child of the test (shared locks do not exclude each other). With a look every millisecond the lock of the killed process was found to be let go 3 to 61 ms after it had been waited for, eight runs at a time on four cores: the kernel closes its files later. At fault: rescue in trace/tail.go took a lock that is held for a process that lives.

Change: a tail of the same edge, sentry and folder is looked at again for up to 250 ms, beside the event loop.

--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -133,7 +133,7 @@
 func (k *Recorder) write(tails string) {
 	defer close(k.done)
 	if tails != "" {
-		if err := rescue(k.store.folder, tails); err != nil {
+		if err := rescue(k.store.folder, tails, k.store.header); err != nil {
 			k.log.Warn("traces of a process that died stay in its tail", zap.Error(err))
 		}
 	}
--- a/trace/tail.go
+++ b/trace/tail.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"time"
 
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
@@ -190,9 +191,13 @@
 	return f, alive, err
 }
 
+// lingers is how long the lock of a process that was killed may outlive it: the kernel closes files after the process
+// has been waited for, on a busy machine tens of milliseconds later.
+const lingers = 250 * time.Millisecond
+
 // rescue writes what processes that have died left in their tails into segments of their lives, in the folder that they
-// recorded to, and removes the tails.
-func rescue(folder Folder, tails string) error {
+// recorded to, and removes the tails. What lives keeps its own.
+func rescue(folder Folder, tails string, now *tracepb.Header) error {
 	dir, isDisk := folder.(Disk)
 	paths, err := filepath.Glob(filepath.Join(tails, "dunegrade-*"+TailSuffix))
 	if err != nil || !isDisk {
@@ -203,15 +208,24 @@
 		return err
 	}
 	var faults []error
+	until := time.Now().Add(lingers)
 	for _, path := range paths {
-		f, alive, err := openTail(path)
-		if alive {
+		if path == tailPath(tails, now.Life) {
 			continue
 		}
+		f, alive, err := openTail(path)
+		// Danger: an edge that is started again at once would take its own life before for one that still runs, and what
+		// that had in hand would be missing until the next start.
+		for alive && err == nil && f.Header.Folder == own && f.Header.Edge == now.Edge && f.Header.Sentry == now.Sentry &&
+			time.Now().Before(until) {
+			f.Close()
+			time.Sleep(5 * time.Millisecond)
+			f, alive, err = openTail(path)
+		}
 		if err != nil {
 			continue // not ours to judge
 		}
-		if f.Header.Folder == own {
+		if !alive && f.Header.Folder == own {
 			faults = append(faults, rescueOne(dir, path, f))
 		}
 		f.Close()
