The module: of more than 64 workers one is drawn from a tree of weights, with the same chances

Cause: a txn looked at every worker of its group, with a draw and a power for each: 108 us at 1,000 workers.

Change: the least of cost times e^blur, with an e of its own for each worker, is a worker with a chance in proportion to cost^(-1/blur). Groups of up to 64 are looked at as before. maySend is split into what holds for all workers and what holds for one, both asked again where an action leaves.

--- a/logic/emit.go
+++ b/logic/emit.go
@@ -83,5 +83,6 @@
 	t.subs[t.n] = submission{to: w, sent: s.now, rel: w.Rel, out: true, arm: t.want.arm,
 		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge}
 	t.n++
+	s.weigh(w)
 	s.out.Submit(t.ID, w.ID, 0)
 }
--- a/logic/helper.go
+++ b/logic/helper.go
@@ -27,7 +27,10 @@
 
 // enter puts a worker into the map and, by its id, into the order; it takes the place of one with its id.
 func (s *Sentry) enter(w *worker) *worker {
-	_, known := s.workers[w.ID]
+	was, known := s.workers[w.ID]
+	if known {
+		was.in = nil
+	}
 	sum := fnv.New32a()
 	sum.Write([]byte(w.ID))
 	w.group = int(sum.Sum32()>>8) % len(s.own.groups)
@@ -41,6 +44,46 @@
 	return w
 }
 
+// weighAll has the draws hold the workers as they are arranged, and notes those that are not fit.
+func (s *Sentry) weighAll() {
+	s.ill = s.ill[:0]
+	for _, w := range s.order {
+		if w.in, w.ill = nil, w.State == Up && !s.fit(w); w.ill {
+			s.ill = append(s.ill, w)
+		}
+	}
+	s.ofTrials.fill(s.trials, fewWorkers, s.weight)
+	s.ofBases.fill(s.bases, fewWorkers, s.weight)
+	s.ofRest.fill(s.rest, fewWorkers, s.weight)
+}
+
+// weigh gives a worker the weight that it has by now, and notes it where it is not fit any more.
+func (s *Sentry) weigh(w *worker) {
+	if w.in == nil {
+		return
+	}
+	if w.in.drawn() {
+		w.in.weigh(w, s.weight(w))
+	}
+	if !s.fit(w) && !w.ill {
+		w.ill, s.ill = true, append(s.ill, w)
+	}
+}
+
+// without has a pick do with another weight of w.
+func (s *Sentry) without(w *worker, weight float64) {
+	w.in.weigh(w, weight)
+	s.aside = append(s.aside, w)
+}
+
+// restore gives all those their weights again.
+func (s *Sentry) restore(from *draw) {
+	for _, w := range s.aside {
+		from.weigh(w, s.weight(w))
+	}
+	s.aside = s.aside[:0]
+}
+
 // spread sums up values for their mean and deviation.
 type spread struct {
 	n, sum, square float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,8 @@
 	restAbove, trickle, forget                     = 0.35, 1 * Second, 0.005
 	longAgo, remembered                            = 10 * Second, 60 * Second
 	crossTimes                                     = 15.0
+	// Workers of a group up to which each is looked at; of more one is drawn with the same chance.
+	fewWorkers = 64
 	// Txns a worker may hold, of few sentries: at the least, at first; share of answers that may take two
 	// thirds of the SLA time; the step. First guess of a time, in SLA times.
 	leastOpen, firstOpen, slowShare, limitStep, firstTimes = 1.0, 8.0, 0.08, 0.2, 0.2
@@ -104,6 +106,7 @@
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
 	s.trials, s.bases, s.rest, s.warming = s.trials[:0], s.bases[:0], s.rest[:0], s.warming[:0]
+	defer s.weighAll()
 	up, newest, able, all, trial := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range s.order {
 		if s.ramp(w) < 1 {
@@ -161,20 +164,23 @@
 
 // ---- The rules, in one place: nothing is sent or answered that these do not allow ----
 
+// mayGo holds the rules on a further submission of t that are the same for all workers.
+func (s *Sentry) mayGo(t *txn) bool {
+	return t.has == unanswered && s.now < t.Expiry && t.n < s.most && (s.flag("allow.copies") ||
+		!slices.ContainsFunc(t.subs[:t.n], func(b submission) bool { return b.out }))
+}
+
 // maySend holds all rules on a submission of t to w, at this moment.
-func (s *Sentry) maySend(t *txn, w *worker) bool {
+func (s *Sentry) maySend(t *txn, w *worker) bool { return s.mayGo(t) && s.mayTake(t, w) }
+
+// mayTake holds those that are not the same for all workers.
+func (s *Sentry) mayTake(t *txn, w *worker) bool {
 	p := &s.products[t.Product]
-	if t.has != unanswered || s.now >= t.Expiry || t.n >= s.most {
-		return false
-	}
 	if w.State != Up || s.ramp(w) < 1 && w.cold < 1 { // the grace of a drain is not used
 		return false
 	}
 	for i := 0; i < t.n; i++ {
 		sub := &t.subs[i]
-		if sub.out && !s.flag("allow.copies") {
-			return false
-		}
 		if (sub.out || sub.ran) && !p.inquiry {
 			same := p.anywhere || p.byZone && w.Zone == sub.to.Zone || !p.byZone && w.Cell == sub.to.Cell
 			// The last tenth of the memory is left: the send takes time to arrive.
@@ -274,7 +280,7 @@
 		// So they use up the slice, and count as what they are, trial outcomes.
 		w := s.rotate(s.trials, t)
 		if w == nil {
-			w = s.soonest(s.trials, t)
+			w = s.soonest(&s.ofTrials, t)
 		}
 		if w != nil && t.n == 0 {
 			s.credit, s.creditTrial = max(s.credit-1, -2), max(s.creditTrial-1, -2)
@@ -295,7 +301,7 @@
 		if toTrial && s.creditTrial > 0 {
 			// Danger: a worker on trial that fell silent gets no other txn by which it would be found again.
 			if slices.ContainsFunc(s.trials, func(w *worker) bool { return w.silent }) {
-				if w := s.soonest(s.trials, t); w != nil && w.silent {
+				if w := s.soonest(&s.ofTrials, t); w != nil && w.silent {
 					s.creditTrial--
 					return w, noArm
 				}
@@ -309,13 +315,13 @@
 			return w, baseArm
 		}
 	}
-	if w := s.soonest(s.rest, t); w != nil {
+	if w := s.soonest(&s.ofRest, t); w != nil {
 		return w, noArm
 	}
-	if w := s.soonest(s.bases, t); w != nil {
+	if w := s.soonest(&s.ofBases, t); w != nil {
 		return w, noArm
 	}
-	return s.soonest(s.trials, t), noArm
+	return s.soonest(&s.ofTrials, t), noArm
 }
 
 // crossing is what a worker's time counts more for standing in another zone.
@@ -360,42 +366,61 @@
 // room tells whether w may hold one more of this sentry's txns. The limit follows how soon answers come, so
 // that what could only be late is declined early, whatever the lack comes from; repeats get less of it.
 func (s *Sentry) room(w *worker, t *txn) bool {
-	// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
-	limit := w.limit * s.squeeze * (1 - 0.2*bit(t.n > 0))
-	return float64(w.open) < limit && (s.part == 1 || float64(s.held) < s.allowed)
+	return float64(w.open) < w.limit*s.squeeze*(1-0.2*bit(t.n > 0)) && s.anyRoom()
 }
 
+// anyRoom tells whether one more may be held at all.
+// Danger: one txn a worker for each of many sentries is a jam; all that a sentry holds is bounded as well.
+func (s *Sentry) anyRoom() bool { return s.part == 1 || float64(s.held) < s.allowed }
+
 // widen moves the limit of w by a factor; what is learnt of one worker tells of all where each is seldom met.
 func (s *Sentry) widen(w *worker, by float64) {
 	w.limit = max(leastOpen*s.part, w.limit*by)
 	s.squeeze = min(max(s.squeeze*(1+(by-1)*s.blur*(1-s.part)), 0.1), 2)
 }
 
-// soonest picks the worker that should answer first, as far as own submissions tell.
-func (s *Sentry) soonest(from []*worker, t *txn) *worker {
+// cost is how late w should answer, as far as own submissions tell.
+func (s *Sentry) cost(w *worker) float64 {
+	return w.slow * (1 + float64(w.open)) / s.ramp(w) * (1 + 4*w.bad) * w.cross
+}
+
+// weight is the chance of w, beside that of others, to be picked: none where it can have no room.
+func (s *Sentry) weight(w *worker) float64 {
+	// Danger: the squeeze moves with each answer for all workers, so only its upper end counts here.
+	if !s.fit(w) || float64(w.open) >= w.limit*(1+bit(s.part < 1)) {
+		return 0
+	}
+	return raceWeight(s.cost(w), s.blur)
+}
+
+// soonest picks the worker that should answer first, by a chance that grows the sooner it should.
+func (s *Sentry) soonest(from *draw, t *txn) *worker {
+	if !s.mayGo(t) || !s.anyRoom() {
+		return nil
+	}
 	var best *worker
-	least := math.Inf(1)
-	for _, w := range from {
-		if !s.maySend(t, w) || !s.room(w, t) {
-			continue
-		}
-		cost := w.slow * (1 + float64(w.open)) / s.ramp(w) * (1 + 4*w.bad) * w.cross
-		if !s.fit(w) {
-			// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
-			// be repeated now and then, the less the seldomer it is met; this also brings back whatever has recovered.
-			// Where nothing may be repeated, what has fallen silent is asked again later, or it never would be.
-			inquiry, overdue := s.products[t.Product].inquiry, w.silent && s.now > w.nextTry+longAgo
-			if s.now < w.nextTry || t.n > 0 || !inquiry && !overdue {
+	if !from.drawn() { // few: each is looked at, with a draw of its own
+		least := math.Inf(1)
+		for _, w := range from.workers {
+			if !s.mayTake(t, w) || !s.room(w, t) {
 				continue
 			}
-			cost = 0
-		}
-		if t.tried(w) {
-			cost *= 100
-		}
-		if cost *= math.Pow(s.rng.ExpFloat64(), s.blur); cost < least {
-			best, least = w, cost
+			cost := s.cost(w)
+			if !s.fit(w) {
+				if !s.asks(w, t) {
+					continue
+				}
+				cost = 0
+			}
+			if t.tried(w) {
+				cost *= 100
+			}
+			if cost *= math.Pow(s.rng.ExpFloat64(), s.blur); cost < least {
+				best, least = w, cost
+			}
 		}
+	} else {
+		best = s.pick(from, t)
 	}
 	if best != nil && !s.fit(best) {
 		best.nextTry = s.now + Nanos(float64(trickle)*max(1, 5*s.seldom))
@@ -403,6 +428,38 @@
 	return best
 }
 
+// asks tells whether t may find out about a worker that is not fit.
+// Danger: a worker that answers nothing draws no load and so looks free. It gets one txn that may
+// be repeated now and then, the less the seldomer it is met; this also brings back whatever has recovered.
+// Where nothing may be repeated, what has fallen silent is asked again later, or it never would be.
+func (s *Sentry) asks(w *worker, t *txn) bool {
+	overdue := w.silent && s.now > w.nextTry+longAgo
+	return s.now >= w.nextTry && t.n == 0 && (s.products[t.Product].inquiry || overdue)
+}
+
+// pick draws the worker from many that have weights.
+func (s *Sentry) pick(from *draw, t *txn) *worker {
+	for i := 0; i < len(s.ill) && t.n == 0; i++ {
+		w := s.ill[i]
+		if w.in == from && !s.fit(w) && s.asks(w, t) && s.room(w, t) && s.mayTake(t, w) {
+			return w
+		}
+	}
+	defer s.restore(from)
+	for i := 0; i < t.n; i++ { // asked again only where no other will do
+		if w := t.subs[i].to; w.in == from && s.weight(w) > 0 {
+			s.without(w, raceWeight(100*s.cost(w), s.blur))
+		}
+	}
+	for {
+		w := from.pick(s.rng.Float64())
+		if w == nil || s.fit(w) && s.room(w, t) && s.mayTake(t, w) {
+			return w
+		}
+		s.without(w, 0)
+	}
+}
+
 // Outcome takes the end of a submission.
 func (s *Sentry) Outcome(now Nanos, o Outcome) {
 	s.now = now
@@ -418,6 +475,7 @@
 	sub.to.open--
 	s.held--
 	s.learn(t, sub, o)
+	s.weigh(sub.to)
 	if o.Over {
 		t.has = settled
 	}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -31,13 +31,10 @@
 func (c *crowd) Remind(Nanos, uint64)     {}
 func (c *crowd) Vote(Verdict, RelID, int) {}
 func (c *crowd) Watch()                   {}
-func (c *crowd) Fetch()                   {}
-func (c *crowd) Probe(WorkerID)           {}
-func (c *crowd) CloseIdle(WorkerID)       {}
 func (c *crowd) Tell(int, []byte)         {}
 func (c *crowd) Log(string)               {}
 
-// newCrowd makes one of n workers; trial is how many of them run a build on trial, silent how many never answer.
+// newCrowd makes one of n workers; trial is how many of them run a build on trial.
 func newCrowd(n, trial int) *crowd {
 	c := &crowd{now: 1e15, subs: make([]struct {
 		id TxnID
--- a/logic/state.go
+++ b/logic/state.go
@@ -67,6 +67,9 @@
 	coldAt    Nanos
 	ripeAt    Nanos   // since when that is one or more
 	cross     float64 // what its time counts more for standing in another zone
+	in        *draw   // that holds it, nil: none
+	at        int     // its place there
+	ill       bool    // noted as not fit, at the last beat or since
 }
 
 // where is a zone and a kind of machine; place, what workers there take over the typical time: smoothed, and
@@ -133,6 +136,9 @@
 	workers             map[WorkerID]*worker
 	order               []*worker // by id
 	trials, bases, rest []*worker
+	ofTrials, ofBases   draw // of the same
+	ofRest              draw
+	ill, aside          []*worker // that are not fit; that a pick has to do without
 	warming             []*worker // some of them cold, or were at the last beat
 	kinds               []KindID  // of machines of the trial
 	most                int       // submissions of a txn
