The module: the bar for a build that slows all is no higher than levels can get

All sentries held a level 0.8 to 0.95 over the calm one for 6 s, and none called the build back.

At fault: look in logic/logic.go raises the bar with the sentries, there to 1.67, while what would be later than its SLA time is declined and so no level gets there.

Change: a smoothed log of the SLA time over the expected one; the bar is at most eight tenths of what lies between that and the calm level, and no lower than for few sentries. TestBuildThatSlowsAllOfMany fails without.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,6 +559,7 @@
 		v := math.Log(max(times, 0.01)) // what was called off took this long at the least
 		s.levels++
 		s.level += max(s.heed, bit(s.heed > 0)/s.levels) * (v - s.level)
+		s.reach += max(0.03, 1/s.levels) * (math.Log(float64(p.sla)/max(s.expected(t), 1)) - s.reach)
 		// Danger: the last workers of an earlier build are no measure for a fleet that has replaced the rest.
 		if k := w.place; !s.onTrial(sub.rel) {
 			// Danger: what is picked for answering soon is faster than a side of the pair, which goes in turn.
@@ -856,7 +857,10 @@
 	if s.warmLevel = s.level; s.news.Stage > 0 && s.level > s.stageLevel+rise && s.news.Stage != s.roseAt {
 		s.rises, s.roseAt = s.rises+1, s.news.Stage
 	}
-	if s.drag < dragged*(1+0.4*s.many) || s.rises < 1 || !onTrial && !fresh {
+	// Danger: what would take longer than its SLA time is declined, so where that is short no level ever gets
+	// to a bar that rises with the sentries.
+	bar := max(dragged, min(dragged*(1+0.4*s.many), dragged*(s.reach-s.calmLevel)))
+	if s.drag < bar || s.rises < 1 || !onTrial && !fresh {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -277,6 +277,35 @@
 	}
 }
 
+// Danger: late txns are declined, so levels end where the SLA time is; a bar that rises with the sentries must not lie above.
+func TestBuildThatSlowsAllOfMany(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sla  Nanos
+		slow Nanos // times of the second stage's workers, all of them
+		back bool
+	}{
+		{"as slow as the SLA time lets it show", 400 * Millisecond, 380 * Millisecond, true},
+		{"as slow, but it could show more", 2 * Second, 380 * Millisecond, false},
+		{"a little slower", 400 * Millisecond, 150 * Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(6, 0, 0, "sentries", 60.0, "products.0.sla", float64(c.sla))
+			r.run(400, inquiry, noKey, func(string, int) (Ending, Nanos) { return OK, 100 * Millisecond })
+			r.List(r.clock, Changes, []Worker{{ID: "trial00", Rel: 2}, {ID: "trial01", Rel: 2}})
+			back := false
+			for stage, slow := range []Nanos{100 * Millisecond, 130 * Millisecond, c.slow} {
+				r.Sentry.News(r.clock, News{Rel: 2, Cap: 1, Stage: stage})
+				for i := 0; i < 30; i++ {
+					r.run(20, inquiry, noKey, func(string, int) (Ending, Nanos) { return OK, slow })
+					back = back || r.wantVote == Back
+				}
+			}
+			want(t, "back", back, c.back)
+		})
+	}
+}
+
 // Danger: a cold worker is late for being cold, and a jam for lack of workers is no build's doing.
 func TestWhatIsNotTheBuild(t *testing.T) {
 	for _, c := range []struct {
--- a/logic/state.go
+++ b/logic/state.go
@@ -171,6 +171,7 @@
 	own                   evidence
 	peers                 []evidence // by their number
 	level                 float64    // smoothed log of the times of earlier builds
+	reach                 float64    // smoothed log of the SLA time, as times are
 	draggedAt             Nanos
 	levels, calms         float64      // outcomes and beats that went into the level and the calm one
 	calmLevel, drag       float64      // the level before the trial; its rise since
