The module: how far a level surely gets is a figure of its own

Cause: the bar for a build that slows all used the bar's own 0.8 also as the part of the way to the SLA time; whoever tuned one would have moved the other. Change: a constant with its own name and the same value.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,9 +33,10 @@
 	// machines, on a log scale; standard errors that mean 'back', more for e times the sentries, and no 'on'.
 	slowerBy, slowFloor, unlike, slowBack, slowMany, slowStop = 1.25, 10.0, 0.2, 3.5, 0.2, 1.0
 	// The level of all: a rise that counts for its stage; one at which a build is taken to slow all, and for how
-	// long, also so long after its release; fresh demand, and the part of capacity missing, that explain one.
-	rise, dragged, surge, lacks, firstLevels = 0.12, 0.8, 1.2, 0.15, 40.0
-	dragTime, afterwards                     = 3 * Second, 15 * Second
+	// long, also so long after its release; fresh demand, and the part of capacity missing, that explain one;
+	// the part of the way from the calm level to the SLA time that a level surely gets to.
+	rise, dragged, surge, lacks, firstLevels, shown = 0.12, 0.8, 1.2, 0.15, 40.0, 0.8
+	dragTime, afterwards                            = 3 * Second, 15 * Second
 	// Outcomes that 'on' needs for the whole fleet; sentries that pool; how long what they were told counts.
 	stakes, gatherers, peerTrust = 24.0, 6, 3 * Second
 	// Typical times without a word after which a worker is silent, and until a second copy; second copies and
@@ -859,7 +860,7 @@
 	}
 	// Danger: what would take longer than its SLA time is declined, so where that is short no level ever gets
 	// to a bar that rises with the sentries.
-	bar := max(dragged, min(dragged*(1+0.4*s.many), dragged*(s.reach-s.calmLevel)))
+	bar := max(dragged, min(dragged*(1+0.4*s.many), shown*(s.reach-s.calmLevel)))
 	if s.drag < bar || s.rises < 1 || !onTrial && !fresh {
 		s.draggedAt = s.now
 	}
