--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -461,7 +461,7 @@
 		t.Fatal(err)
 	}
 	dated()
-	core, said := observer.New(zap.ErrorLevel)
+	core, said := observer.New(zap.InfoLevel)
 	e := hear(t, newFileSource(path, zap.New(core)))
 	until(t, "it is said", func() bool { return said.FilterMessage("list file cannot be read").Len() > 0 })
 	if err := os.Remove(path); err != nil {
@@ -475,8 +475,9 @@
 	if got := await(t, e.lists); len(got.Workers) != 1 {
 		t.Errorf("told %+v", got)
 	}
-	if n := said.Len(); n != 1 {
-		t.Errorf("said %d times that it cannot be read, wanted once", n)
+	until(t, "that is said", func() bool { return said.FilterMessage("list file is read again").Len() > 0 })
+	if n := said.Len(); n != 2 {
+		t.Errorf("%d lines, wanted one for each change", n)
 	}
 }
 
--- a/edge/source.go
+++ b/edge/source.go
@@ -212,11 +212,14 @@
 		}
 		if err != nil {
 			seen = time.Time{} // Danger: it may be back with the time it had
-			if !away {
+		}
+		if (err != nil) != away {
+			if away = err != nil; away {
 				s.log.Error("list file cannot be read", zap.Error(err))
+			} else {
+				s.log.Info("list file is read again")
 			}
 		}
-		away = err != nil
 		select {
 		case <-ctx.Done():
 			return
