A draw's end is tested where sums are rounded

Cause: with the guard of pick against leaves without weight taken out, TestDrawPicksByWeight still passed, so it proved nothing of it. Change: 2,000 draws of three weights and nothing behind them, picked at the far end. Result: passes as it is, and fails without the guard: the end gives worker 3, which has no weight.

--- a/logic/draw_test.go
+++ b/logic/draw_test.go
@@ -56,6 +56,13 @@
 			}
 		}
 	}
+	for k := 0; k < 2000; k++ { // sums that are rounded, with nothing behind the last
+		weights := []float64{rng.Float64(), rng.Float64(), rng.Float64(), 0, 0, 0}
+		d, _ := drawOf(weights)
+		if w := d.pick(math.Nextafter(1, 0)); weights[w.at] == 0 {
+			t.Fatalf("%v: the end gave worker %d, which has no weight", weights, w.at)
+		}
+	}
 	d, ws := drawOf([]float64{1, 2})
 	d.weigh(ws[0], 0)
 	d.weigh(ws[1], 0)
