--- a/cmd/dunegrade-edge/main.go
+++ b/cmd/dunegrade-edge/main.go
@@ -7,12 +7,19 @@
 	"github.com/alecthomas/kong"
 
 	"dunegrade/edge"
+	"dunegrade/platform"
 )
 
 func main() {
 	var args struct {
-		Settings string `arg:"" help:"The edge's settings file (S-expressions)." type:"path"`
+		Serve struct {
+			Settings string `arg:"" help:"The edge's settings file (S-expressions)." type:"path"`
+		} `cmd:"" default:"withargs" help:"Serve HTTP by a settings file."`
+		Live struct{} `cmd:"" help:"Serve as one sentry of a platform, by the start document that ROUTER_CONFIG names."`
 	}
-	kong.Parse(&args, kong.Name("dunegrade-edge"), kong.Description("Routes txns to workers and votes builds on or back."))
-	os.Exit(edge.Serve(args.Settings))
+	c := kong.Parse(&args, kong.Name("dunegrade-edge"), kong.Description("Routes txns to workers and votes builds on or back."))
+	if c.Command() == "live" {
+		os.Exit(platform.Serve())
+	}
+	os.Exit(edge.Serve(args.Serve.Settings))
 }
--- a/config/edge.go
+++ b/config/edge.go
@@ -13,21 +13,24 @@
 
 // Edge is all that an edge is told by its file, checked.
 type Edge struct {
-	Name    string
-	Listen  string // address of the clients' side
-	Admin   string // address of health and metrics; empty: none
-	Peers   []string
-	Loops   int
-	Seed    int64
-	Zone    string
-	Zones   []string
-	Kinds   []string
-	State   string // folder of what outlives a restart; empty: nothing does
-	Log     string // least level of a log line
-	Door    Door
-	Workers Pools
-	Source  Source
-	Trace   Trace
+	Name   string
+	Listen string // address of the clients' side
+	Admin  string // address of health and metrics; empty: none
+	Peers  []string
+	// PeerListen is where other sentries' messages arrive, each known by its sender's address; empty: at this one's own
+	// address of Peers, each saying whose it is.
+	PeerListen string
+	Loops      int
+	Seed       int64
+	Zone       string
+	Zones      []string
+	Kinds      []string
+	State      string // folder of what outlives a restart; empty: nothing does
+	Log        string // least level of a log line
+	Door       Door
+	Workers    Pools
+	Source     Source
+	Trace      Trace
 
 	Products  []Product
 	Customers []string
@@ -35,7 +38,9 @@
 
 	// Slack is taken off a client's patience, so that a final answer has time to arrive.
 	Slack time.Duration
-	// DrainWithin bounds the stop after SIGTERM.
+	// KeepOpen is how long after SIGTERM clients still come.
+	KeepOpen time.Duration
+	// DrainWithin bounds the stop after that.
 	DrainWithin time.Duration
 	// Module is the plain map of names to values that the decision module reads.
 	Module map[string]any
@@ -53,6 +58,7 @@
 // Pools holds the limits on connections to workers, each loop by itself.
 type Pools struct {
 	Connections    int // to one worker
+	Total          int // to all workers; 0: no bound of its own
 	Dialing        int // at once, to all
 	ConnectTimeout time.Duration
 	Idle           time.Duration
--- a/edge/call.go
+++ b/edge/call.go
@@ -39,6 +39,8 @@
 	keep     bool // the client's connection stays open
 	in       logic.Txn
 	taken    bool      // the module has it
+	outer    uint64    // its id as its client knows it, where ids are its clients'
+	from, to int       // where in request its patience stands, where it stands in the request
 	traced   bool      // it is recorded
 	traceID  [2]uint64 // that the client sent
 	serial   uint64    // of the txn in this sentry's life
@@ -50,7 +52,6 @@
 	pending  int // events queued for the module
 	free     bool
 	last     logic.Ending
-	lastBad  int // status of the last error answered, 0 for none
 }
 
 // The id of a txn is its place in the slab below its generation: as small a number as can be.
@@ -87,6 +88,9 @@
 		return
 	}
 	c.free = true
+	if c.outer != 0 {
+		delete(l.outers, c.outer)
+	}
 	if c.traced {
 		l.rec.Done(l.now, c.id())
 	}
@@ -191,7 +195,12 @@
 	p.conns--
 	l.dialing--
 	l.stats.dialsFailed++
-	// The oldest that waits for this connection learns that there is none.
+	l.noneFor(p)
+	l.open(p)
+}
+
+// noneFor tells the submission that has waited longest that there is no connection for it.
+func (l *loop) noneFor(p *pool) {
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
 		p.waiting = p.waiting[1:]
@@ -200,7 +209,17 @@
 			break
 		}
 	}
-	l.open(p)
+}
+
+// dropWaiting ends what waits for a connection to a worker that is wanted no more; it was never sent.
+func (l *loop) dropWaiting(p *pool) {
+	waiting := p.waiting
+	p.waiting = nil
+	for _, w := range waiting {
+		if w.valid() {
+			l.ended(w.call, w.n, logic.Moot, nil)
+		}
+	}
 }
 
 // offer gives a free connection to the submission that has waited longest, or keeps it.
@@ -228,11 +247,10 @@
 	s := &c.subs[n]
 	s.state, s.conn = subSent, wc
 	wc.call, wc.gen, wc.n = c, c.gen, n
-	wc.state, wc.buf, wc.body = atHead, wc.buf[:0], wc.body[:0]
+	wc.loaded = false
 	wc.used++
 	l.stats.sent++
-	l.stats.bytesOut += uint64(len(c.request))
-	if _, err := wc.c.Write(c.request); err != nil && !wc.closed {
+	if err := wc.says.ask(c, n); err != nil && !wc.closed {
 		l.closeWorker(wc, true)
 		l.ended(c, n, logic.Broken, nil)
 	}
@@ -251,6 +269,9 @@
 		}
 		l.ended(c, n, e, nil)
 	case subSent:
+		if s.conn.says.unsent() { // what never left this host whole cannot have run
+			e = logic.ConnectFailed
+		}
 		l.closeWorker(s.conn, true)
 		l.ended(c, n, e, nil)
 	}
--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -24,7 +24,7 @@
 	pool    *pool
 	worker  net.Conn
 	client  net.Conn
-	state   backState
+	state   httpState
 	left    int64 // inFixed
 	chunks  http1.Dechunker
 	chunked bool   // to the client
@@ -38,11 +38,12 @@
 }
 
 // carry passes the answer that wc is in the middle of to a carrier, and tells whether wc is done with.
-func (l *loop) carry(wc *workerConn) bool {
+func (l *loop) carry(b *httpBack) bool {
+	wc := b.wc
 	c, n := wc.call, wc.n
 	cc := c.client
 	if cc.c.OutboundBuffered() > 0 { // an earlier answer leaves first
-		if int64(len(wc.buf)+len(wc.body)) > l.p.plan.Door.Unsent {
+		if int64(len(b.buf)+len(b.body)) > l.p.plan.Door.Unsent {
 			l.stats.slowReaders++
 			cc.close(true)
 			return true
@@ -54,10 +55,10 @@
 		l.ended(c, n, logic.Broken, nil)
 		return true
 	}
-	k := &carrier{l: l, call: c, n: n, pool: wc.pool, state: wc.state, left: wc.left, chunks: wc.chunks, keep: c.keep && !l.draining,
-		shut: wc.shut || wc.state == inOpen, load: wc.load, loaded: wc.loaded}
-	k.first = append([]byte(nil), wc.buf...)
-	if wc.state != inFixed {
+	k := &carrier{l: l, call: c, n: n, pool: wc.pool, state: b.state, left: b.left, chunks: b.chunks, keep: c.keep && !l.draining,
+		shut: b.shut || b.state == inOpen, load: wc.load, loaded: wc.loaded}
+	k.first = append([]byte(nil), b.buf...)
+	if b.state != inFixed {
 		if c.minor == 1 {
 			k.chunked = true
 			k.first = append(k.first, "Transfer-Encoding: chunked\r\n"...)
@@ -69,9 +70,9 @@
 		}
 		k.first = append(k.first, "\r\n"...)
 		if k.chunked {
-			k.first = http1.AppendChunk(k.first, wc.body)
+			k.first = http1.AppendChunk(k.first, b.body)
 		} else {
-			k.first = append(k.first, wc.body...)
+			k.first = append(k.first, b.body...)
 		}
 	}
 	if size := wc.c.InboundBuffered(); size > 0 {
@@ -101,7 +102,7 @@
 	cc.gen++
 	l.doors.give(cc.at)
 	l.el.Close(gc)
-	wc.state = idle
+	wc.call = nil
 	l.closeWorker(wc, false)
 	l.queue(event{kind: evStreaming, call: c, outcome: logic.Outcome{Number: n}})
 	l.group.Add(1)
--- /dev/null
+++ b/edge/client_http.go
@@ -0,0 +1,382 @@
+package edge
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunegrade/http1"
+	"dunegrade/logic"
+	"dunegrade/trace"
+)
+
+// httpSpeech is HTTP/1.1 behind the seam.
+type httpSpeech struct{}
+
+func (httpSpeech) front(cc *clientConn, was frontSpeech) frontSpeech {
+	d, ok := was.(*httpFront)
+	if !ok {
+		d = &httpFront{}
+	}
+	*d = httpFront{cc: cc}
+	return d
+}
+
+func (httpSpeech) back(wc *workerConn, was backSpeech) backSpeech {
+	k, ok := was.(*httpBack)
+	if !ok {
+		k = &httpBack{}
+	}
+	*k = httpBack{wc: wc, buf: k.buf[:0], body: k.body[:0]}
+	return k
+}
+
+// httpPart is what of a request is being read.
+type httpPart uint8
+
+const (
+	readHead httpPart = iota
+	readFixed
+	readChunks
+)
+
+// httpFront is a client's connection that speaks HTTP/1.1.
+type httpFront struct {
+	cc      *clientConn
+	part    httpPart
+	left    int64 // of a body of known length
+	chunks  http1.Dechunker
+	scanned int         // bytes known to hold no end of a head
+	headAt  logic.Nanos // when the first byte of the head was seen; 0: none yet
+}
+
+func (d *httpFront) fresh() bool { return d.part == readHead }
+func (d *httpFront) begin()      { d.part = readHead }
+
+// waits ends what has waited for too long. Slow heads and bodies hold memory, so each has its limit.
+func (d *httpFront) waits() (until logic.Nanos) {
+	cc := d.cc
+	l := cc.l
+	door := &l.p.plan.Door
+	switch d.part {
+	case readHead:
+		if d.headAt > 0 {
+			until = d.headAt + logic.Nanos(door.SlowHead)
+			if until <= l.now {
+				l.refuse(cc, 408, "the head came too slowly")
+				return 0
+			}
+		} else if until = cc.since + logic.Nanos(door.Idle); until <= l.now || l.draining && l.now >= l.drainAt+linger {
+			cc.close(false)
+			return 0
+		} else if l.draining {
+			until = l.drainAt + linger
+		}
+	case readFixed, readChunks:
+		if until = cc.since + logic.Nanos(door.SlowBody); until <= l.now {
+			l.refuse(cc, 408, "the body came too slowly")
+			return 0
+		}
+	}
+	return until
+}
+
+func (d *httpFront) read(in []byte) bool {
+	cc := d.cc
+	switch d.part {
+	case readHead:
+		return d.head(in)
+	case readFixed:
+		n := int(min(d.left, int64(len(in))))
+		cc.call.request = append(cc.call.request, in[:n]...)
+		cc.used(n)
+		if d.left -= int64(n); d.left == 0 {
+			cc.whole()
+		}
+		return true
+	}
+	return d.chunk(in)
+}
+
+// head reads a request's head, and tells whether there may be more to do.
+func (d *httpFront) head(in []byte) bool {
+	cc := d.cc
+	l := cc.l
+	if d.headAt == 0 {
+		d.headAt = l.now
+		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.SlowHead))
+	}
+	limit := int(l.p.plan.Door.Head)
+	// Danger: a head that drips in byte by byte must not be parsed anew for each.
+	if d.scanned > 0 && len(in) <= limit && !bytes.Contains(in[max(0, d.scanned-3):], []byte("\r\n\r\n")) {
+		d.scanned = len(in)
+		return false
+	}
+	n, err := l.req.Parse(in, limit)
+	if err == http1.ErrMore {
+		d.scanned = len(in)
+		return false
+	}
+	if err != nil {
+		f := err.(*http1.Fault)
+		l.refuse(cc, f.Status, f.What)
+		return false
+	}
+	d.scanned = 0
+	r := &l.req
+	if r.Expects {
+		l.refuse(cc, 417, "only 100-continue can be expected")
+		return false
+	}
+	if r.Length > l.p.plan.Door.Body {
+		l.refuse(cc, 413, "the body is larger than the limit")
+		return false
+	}
+	if l.calls.used() >= l.p.plan.Door.Open {
+		l.stats.atDoor++
+		cc.used(n)
+		l.reply(cc, 503, declinedText, 100*logic.Millisecond, r.Length == 0 && !r.Close && !l.draining)
+		d.headAt = 0
+		return !cc.closed && cc.state == reading
+	}
+	c := l.newCall()
+	c.client, cc.call = cc, c
+	if !l.classify(c, r) {
+		cc.call, c.client = nil, nil
+		l.drop(c)
+		l.stats.unrouted++
+		cc.used(n)
+		l.reply(cc, 404, "no route fits this request\n", 0, r.Length == 0 && !r.Close && !l.draining)
+		d.headAt = 0
+		return !cc.closed && cc.state == reading
+	}
+	c.keep = !r.Close && !l.draining
+	c.minor = r.Minor
+	wants, length := r.Continue, r.Length
+	cc.used(n)
+	d.headAt, cc.since = 0, l.now
+	switch {
+	case length == http1.Chunked:
+		d.part, d.chunks = readChunks, http1.Dechunker{}
+	case length > 0:
+		d.part, d.left = readFixed, length
+		c.request = append(c.request, "Content-Length: "...)
+		c.request = strconv.AppendInt(c.request, length, 10)
+		c.request = append(c.request, "\r\n\r\n"...)
+		c.bodyAt = len(c.request)
+	default:
+		// A method that may have a body says that there is none (RFC 9110, 8.6).
+		if m := c.request[0]; m == 'P' {
+			c.request = append(c.request, "Content-Length: 0\r\n"...)
+		}
+		c.request = append(c.request, "\r\n"...)
+		c.bodyAt = len(c.request)
+		cc.whole()
+		return true
+	}
+	l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.SlowBody))
+	if wants && len(cc.input()) == 0 {
+		cc.put([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	return !cc.closed
+}
+
+// chunk reads a part of a chunked body, and tells whether there may be more to do.
+func (d *httpFront) chunk(in []byte) bool {
+	cc := d.cc
+	l, c := cc.l, cc.call
+	took, data, done, err := d.chunks.Next(in)
+	if err != nil && err != http1.ErrMore {
+		l.refuse(cc, 400, err.Error())
+		return false
+	}
+	if c.bodyAt == 0 { // its length is known at its end only: room is left for it
+		c.request = append(c.request, "Content-Length: 0000000000\r\n\r\n"...)
+		c.bodyAt = len(c.request)
+	}
+	if int64(len(c.request)-c.bodyAt+len(data)) > l.p.plan.Door.Body {
+		l.refuse(cc, 413, "the body is larger than the limit")
+		return false
+	}
+	c.request = append(c.request, data...)
+	cc.used(took)
+	if done {
+		size, at := len(c.request)-c.bodyAt, c.bodyAt-len("\r\n\r\n")
+		for i := 1; i <= 10; i++ {
+			c.request[at-i] = byte('0' + size%10)
+			size /= 10
+		}
+		cc.whole()
+		return true
+	}
+	return err == nil && took > 0
+}
+
+var (
+	viaLine        = []byte("Via: 1.1 dunegrade\r\n")
+	timeoutHeader  = "x-envoy-upstream-rq-timeout-ms"
+	expectedHeader = "x-envoy-expected-rq-timeout-ms: "
+)
+
+// classify finds a request's product, key, customer, cost and patience, and builds what workers are sent.
+func (l *loop) classify(c *call, r *http1.Request) bool {
+	path := r.Path()
+	route := l.p.routes.match(r.Method, path)
+	if route == nil {
+		return false
+	}
+	c.product = route.Product
+	c.toHead = string(r.Method) == "HEAD"
+	in := logic.Txn{Product: logic.ProductID(route.Product)}
+	patience := l.p.plan.Products[route.Product].Expiry
+	traced := false
+	out := append(c.request[:0], r.Method...)
+	out = append(out, ' ')
+	out = append(out, r.Target...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = r.AppendFields(out)
+	for i := range r.Headers {
+		h := &r.Headers[i]
+		switch {
+		case equalFold(h.Name, route.KeyHeader):
+			if len(h.Value) > 0 {
+				in.Key = logic.KeyID(xxhash.Sum64(h.Value) | 1)
+			}
+		case equalFold(h.Name, route.CustomerHeader):
+			in.Customer = logic.CustomerID(l.p.customers[string(h.Value)])
+		case equalFold(h.Name, route.CostHeader):
+			if ms, err := strconv.ParseFloat(view(h.Value), 64); err == nil && ms > 0 && ms < 1e9 {
+				in.Cost = logic.Nanos(ms * 1e6)
+			}
+		case equalFold(h.Name, route.RepeatMark):
+			in.Repeat = true
+		case equalFold(h.Name, timeoutHeader):
+			// A client shortens a product's expiry and never lengthens it.
+			if ms, err := strconv.ParseUint(view(h.Value), 10, 32); err == nil {
+				patience = min(patience, max(time.Millisecond, time.Duration(ms)*time.Millisecond))
+			}
+		case equalFold(h.Name, "traceparent"):
+			traced = true
+			c.traceID = traceID(h.Value)
+		}
+	}
+	if !traced {
+		out = l.trace(out, c.serial)
+	}
+	out = append(out, viaLine...)
+	slack := min(l.p.plan.Slack, patience/2)
+	in.Expiry = l.now + logic.Nanos(patience-slack)
+	out = append(out, expectedHeader...)
+	out = strconv.AppendInt(out, int64((patience-slack)/time.Millisecond), 10)
+	out = append(out, "\r\n"...)
+	c.request, c.in = out, in
+	return true
+}
+
+// trace appends a W3C trace context of our own where the client sent none. Its trace id names the txn in the traces.
+func (l *loop) trace(out []byte, serial uint64) []byte {
+	out = append(out, "traceparent: 00-"...)
+	out = appendHex(appendHex(out, l.life), trace.MixSerial(serial))
+	out = append(out, '-')
+	out = appendHex(out, l.rng.Uint64()|1)
+	return append(out, "-01\r\n"...)
+}
+
+func appendHex(out []byte, v uint64) []byte {
+	for shift := 60; shift >= 0; shift -= 4 {
+		out = append(out, "0123456789abcdef"[v>>shift&15])
+	}
+	return out
+}
+
+// traceID reads the trace id of a W3C trace context; zeros where there is none.
+func traceID(v []byte) (id [2]uint64) {
+	if len(v) < 36 || v[2] != '-' || v[35] != '-' {
+		return id
+	}
+	for i, c := range v[3:35] {
+		d := uint64(0)
+		switch {
+		case '0' <= c && c <= '9':
+			d = uint64(c - '0')
+		case 'a' <= c && c <= 'f':
+			d = uint64(c - 'a' + 10)
+		default:
+			return [2]uint64{}
+		}
+		id[i/16] = id[i/16]<<4 | d
+	}
+	return id
+}
+
+const declinedText = "declined: trying again does no harm\n"
+
+// reply answers on the edge's own behalf.
+func (l *loop) reply(cc *clientConn, status int, text string, after logic.Nanos, keep bool) {
+	out := append(l.scratch[:0], "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, reasons[status]...)
+	out = append(out, "\r\nContent-Type: text/plain\r\nContent-Length: "...)
+	out = strconv.AppendInt(out, int64(len(text)), 10)
+	if after > 0 {
+		out = append(out, "\r\nRetry-After: "...)
+		out = strconv.AppendInt(out, int64(math.Ceil(float64(after)/1e9)), 10)
+		out = append(out, "\r\nDunegrade-Retry-After-Ms: "...)
+		out = strconv.AppendInt(out, int64((after+logic.Millisecond-1)/logic.Millisecond), 10)
+	}
+	switch status {
+	case 503:
+		out = append(out, "\r\nDunegrade-Outcome: declined"...)
+	case 502, 504:
+		out = append(out, "\r\nDunegrade-Outcome: voided"...)
+	}
+	if !keep {
+		out = append(out, "\r\nConnection: close"...)
+	}
+	out = append(out, "\r\n\r\n"...)
+	if cc.call == nil || !cc.call.toHead {
+		out = append(out, text...)
+	}
+	l.scratch = out
+	l.stats.replies[status/100]++
+	cc.put(out)
+	if cc.closed || cc.call != nil {
+		return
+	}
+	if !keep {
+		cc.close(false)
+	}
+}
+
+var reasons = map[int]string{400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
+	417: "Expectation Failed", 431: "Request Header Fields Too Large", 501: "Not Implemented",
+	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
+
+// refuse answers what was never taken, and ends the connection: what follows cannot be trusted to be a request.
+func (l *loop) refuse(cc *clientConn, status int, why string) {
+	l.stats.refused++
+	if c := cc.call; c != nil {
+		cc.call, c.client = nil, nil
+		l.drop(c)
+	}
+	cc.used(len(cc.input()))
+	l.reply(cc, status, why+"\n", 0, false)
+}
+
+func (d *httpFront) declined(c *call, after logic.Nanos) {
+	l := d.cc.l
+	l.reply(d.cc, 503, declinedText, after, c.keep && !l.draining)
+}
+
+func (d *httpFront) voided(c *call) {
+	l := d.cc.l
+	if c.last == logic.TimedOut || l.now >= c.in.Expiry {
+		l.reply(d.cc, 504, "voided: no answer in time; it may have had its effect\n", 0, c.keep && !l.draining)
+	} else {
+		l.reply(d.cc, 502, "voided: it may have had its effect\n", 0, c.keep && !l.draining)
+	}
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -89,7 +89,7 @@
 // silentSource tells nothing: tests hand the process its news.
 type silentSource struct{}
 
-func (silentSource) Run(ctx context.Context, _ hearer) { <-ctx.Done() }
+func (silentSource) Run(ctx context.Context, _ Hearer) { <-ctx.Done() }
 func (silentSource) Refresh()                          {}
 func (silentSource) Vote(context.Context, api.Vote) (api.ReleaseEvent, error) {
 	return api.ReleaseEvent{}, api.ErrMoot
@@ -140,8 +140,8 @@
 		for i, w := range workers {
 			e.Workers = append(e.Workers, api.Worker{ID: fmt.Sprintf("w%d", i), Address: w.Addr().String(), State: api.Up, Build: 1})
 		}
-		r.p.workers(e)
-		r.p.release(api.ReleaseEvent{Release: api.Release{Build: 1, Phase: api.Released, Cap: 1}})
+		r.p.Workers(e)
+		r.p.Release(api.ReleaseEvent{Release: api.Release{Build: 1, Phase: api.Released, Cap: 1}})
 		r.settle()
 	}
 	t.Cleanup(func() {
@@ -558,7 +558,7 @@
 	a, b := newStub(t, echo), newStub(t, echo)
 	r := start(t, "", a, b)
 	r.ask(strings.Repeat(get("/ask"), 20), strings.Fields(strings.Repeat("GET ", 20))...)
-	r.p.workers(api.WorkersEvent{Type: api.Change, Revision: 2, Workers: []api.Worker{{ID: "w0", Address: a.Addr().String(), State: api.Draining, Build: 1}}})
+	r.p.Workers(api.WorkersEvent{Type: api.Change, Revision: 2, Workers: []api.Worker{{ID: "w0", Address: a.Addr().String(), State: api.Draining, Build: 1}}})
 	r.settle()
 	before := a.seen.Load()
 	r.ask(strings.Repeat(get("/ask"), 20), strings.Fields(strings.Repeat("GET ", 20))...)
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -70,12 +70,12 @@
 		for _, mode := range []string{api.Change, api.Whole} {
 			t.Run(c.name+" "+mode, func(t *testing.T) {
 				r := start(t, "")
-				r.p.workers(api.WorkersEvent{Type: api.Whole, Revision: 1, Now: 1, Workers: []api.Worker{up("a", 1), up("b", 1), up("c", 1)}})
-				r.p.release(api.ReleaseEvent{Release: api.Release{Build: 1, Phase: api.Released, Cap: 1}})
+				r.p.Workers(api.WorkersEvent{Type: api.Whole, Revision: 1, Now: 1, Workers: []api.Worker{up("a", 1), up("b", 1), up("c", 1)}})
+				r.p.Release(api.ReleaseEvent{Release: api.Release{Build: 1, Phase: api.Released, Cap: 1}})
 				bad, drains, unknown := up("a", 1), up("b", 1), up("d", 70000)
 				drains.State = api.Draining
 				c.spoil(&bad)
-				r.p.workers(api.WorkersEvent{Type: mode, Revision: 2, Now: 1, Workers: []api.Worker{bad, drains, unknown, up("c", 1)}})
+				r.p.Workers(api.WorkersEvent{Type: mode, Revision: 2, Now: 1, Workers: []api.Worker{bad, drains, unknown, up("c", 1)}})
 				got := r.standings()
 				if got["a"] != c.wanted || got["b"] != "not up" || got["c"] != "" {
 					t.Errorf("stand as %v, want a %q, b not up, c free", got, c.wanted)
@@ -225,7 +225,7 @@
 			gone.State = api.Gone
 			e.Type, e.Workers = api.Change, append(e.Workers, gone)
 		}
-		r.p.workers(e)
+		r.p.Workers(e)
 	}
 	done := make(chan [3]int)
 	l := r.p.loops[0]
@@ -329,7 +329,7 @@
 	l.post(func() { before <- l.starts["b"] })
 	now := time.Now().Add(-time.Hour).UnixNano()
 	b := r.p.kept["b"]
-	r.p.workers(api.WorkersEvent{Type: api.Whole, Revision: 1, Now: now, Workers: []api.Worker{b}})
+	r.p.Workers(api.WorkersEvent{Type: api.Whole, Revision: 1, Now: now, Workers: []api.Worker{b}})
 	l.post(func() { before <- l.starts["b"] })
 	if x, y := <-before, <-before; x != y {
 		t.Errorf("the same process is %+v, then %+v", x, y)
@@ -341,10 +341,10 @@
 	dir := t.TempDir()
 	p := New(mustPlan(t, fmt.Sprintf("(state %q)", dir)), zap.NewNop())
 	for _, state := range []string{api.Up, "", "resting", api.Draining} {
-		p.workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1), up("b", 1)}})
+		p.Workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1), up("b", 1)}})
 		bad := up("a", 70000)
 		bad.State = state
-		p.workers(api.WorkersEvent{Type: api.Change, Now: 1, Workers: []api.Worker{bad}})
+		p.Workers(api.WorkersEvent{Type: api.Change, Now: 1, Workers: []api.Worker{bad}})
 		p.save(false)
 		if list, _ := New(mustPlan(t, fmt.Sprintf("(state %q)", dir)), zap.NewNop()).restore(); list == nil || len(list.Workers) != 2 {
 			t.Errorf("after a line of state %q: restored %v", state, list)
@@ -364,7 +364,7 @@
 				for n := 0; n < 1+(i*31+k*17)%200; n++ {
 					list = append(list, up(fmt.Sprintf("w%d-%d-%d", i, k, n), 1))
 				}
-				p.workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: list})
+				p.Workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: list})
 				p.save(false)
 				again := New(mustPlan(t, fmt.Sprintf("(state %q)", dir)), zap.NewNop())
 				if got, _ := again.restore(); got == nil {
@@ -395,7 +395,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.p.workers(api.WorkersEvent{Type: api.Change, Now: 1, Workers: []api.Worker{up("later", 1)}})
+	r.p.Workers(api.WorkersEvent{Type: api.Change, Now: 1, Workers: []api.Worker{up("later", 1)}})
 	r.p.save(false)
 	after, err := os.ReadFile(r.p.statePath())
 	if err != nil || string(after) != string(before) {
@@ -416,7 +416,7 @@
 	if err := os.Mkdir(p.statePath()+".new", 0o700); err != nil {
 		t.Fatal(err)
 	}
-	p.workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1)}})
+	p.Workers(api.WorkersEvent{Type: api.Whole, Now: 1, Workers: []api.Worker{up("a", 1)}})
 	until(t, "it is said", func() bool { return said.FilterMessage("the last list could not be kept").Len() > 0 })
 	if err := os.Remove(p.statePath() + ".new"); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/edge/live.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dunegrade/api"
+	"dunegrade/config"
+	"dunegrade/logic"
+)
+
+// Live is what an edge has from the platform that it serves on, in place of a file or an API.
+type Live struct {
+	Source  Source
+	Dialect Dialect
+	Known   api.WorkersEvent // the list as it was before a restart; it may be old
+	Release api.ReleaseEvent // where the newest build stands
+}
+
+// NewLive makes an edge that speaks PostgreSQL's protocol with clients and workers. It listens when Run is called.
+func NewLive(plan *config.Edge, live *Live, log *zap.Logger) *Process {
+	p := newProcess(plan, log)
+	p.live, p.source, p.speech = live, live.Source, newPgSpeech(live.Dialect)
+	for _, w := range live.Known.Workers {
+		p.kept[w.ID] = w
+	}
+	p.newest = live.Release.Release
+	return p
+}
+
+// told gives what a live edge was told at its start, as its loops take it.
+func (l *Live) told() (*api.WorkersEvent, *logic.News) {
+	n := newsOf(l.Release, false)
+	return &l.Known, &n
+}
+
+// patientStart is how long a new edge waits for the list of the moment before it serves by the one it was started with.
+const patientStart = 1500 * time.Millisecond
+
+// canServe tells whether this edge knows enough to serve: the list of the moment, or after a while the one known before.
+func (l *loop) canServe() bool {
+	return l.p.listed.Load() || len(l.p.live.Known.Workers) > 0 && time.Since(l.p.began) > patientStart
+}
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -84,6 +84,7 @@
 	serial uint64          // of the last txn
 
 	calls   slab[call]
+	outers  map[uint64]struct{} // ids of the calls in hand, where clients give them
 	doors   slab[clientConn]
 	backs   slab[workerConn]
 	pools   map[logic.WorkerID]*pool
@@ -137,7 +138,7 @@
 	seed := int64(xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil,
 		uint64(p.plan.Seed)), uint64(number))) >> 1)
 	l := &loop{p: p, number: number, log: p.log.With(zap.Int("sentry", number)), rng: rand.New(rand.NewSource(seed)),
-		pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1),
+		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1),
 		quit: make(chan struct{}), connectTimeout: logic.Nanos(p.plan.Workers.ConnectTimeout),
 		workerIdle: logic.Nanos(p.plan.Workers.Idle)}
 	l.life = xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(p.plan.Name), uint64(p.epoch)), uint64(number)))
@@ -595,11 +596,11 @@
 	case *door:
 		l.openClient(c, ctx)
 	case *pool:
-		ctx.dialing--
-		l.dialing--
 		l.openWorker(c, ctx)
 	case *returned:
 		ctx.pool.conns++
+		ctx.pool.dialing++
+		l.dialing++
 		l.openWorker(c, ctx.pool)
 	}
 	l.pump()
--- /dev/null
+++ b/edge/pg.go
@@ -0,0 +1,322 @@
+package edge
+
+import (
+	"errors"
+	"strconv"
+
+	"dunegrade/logic"
+	"dunegrade/pgwire"
+)
+
+// Asked is what a statement says of itself.
+type Asked struct {
+	ID       uint64 // by which its client knows it; no two are open at once
+	Product  logic.ProductID
+	Customer logic.CustomerID
+	Key      logic.KeyID
+	Cost     logic.Nanos
+	Repeat   bool
+	Patience logic.Nanos // from when the client sent it
+	From, To int         // where the statement tells its patience, in whole milliseconds
+}
+
+// Dialect reads what clients and workers write inside PostgreSQL's messages. It keeps no state.
+type Dialect interface {
+	// Read reads a statement. Its error is what the client is told.
+	Read(statement []byte, to *Asked) *pgwire.Fault
+	// Load reads a load report, and tells whether it is one.
+	Load(report []byte, to *logic.Load) bool
+	// Hello gives the start-up message for workers, and the name of the parameter that holds load reports.
+	Hello() (message []byte, gauge string)
+}
+
+// pgSpeech is PostgreSQL's protocol behind the seam.
+type pgSpeech struct {
+	dialect Dialect
+	hello   []byte
+	gauge   string
+}
+
+func newPgSpeech(d Dialect) *pgSpeech {
+	s := &pgSpeech{dialect: d}
+	s.hello, s.gauge = d.Hello()
+	return s
+}
+
+func (s *pgSpeech) front(cc *clientConn, was frontSpeech) frontSpeech {
+	d, ok := was.(*pgFront)
+	if !ok {
+		d = &pgFront{}
+	}
+	*d = pgFront{cc: cc, s: s}
+	return d
+}
+
+func (s *pgSpeech) back(wc *workerConn, was backSpeech) backSpeech {
+	k, ok := was.(*pgBack)
+	if !ok {
+		k = &pgBack{}
+	}
+	k.wc, k.s, k.writing = wc, s, false
+	k.from.Reset(s.gauge)
+	return k
+}
+
+// pgFront is a client's connection.
+type pgFront struct {
+	cc     *clientConn
+	s      *pgSpeech
+	from   pgwire.Front
+	partAt logic.Nanos // when a part of a message was first seen; 0: there is none
+	asksAt logic.Nanos // when it asked whether this edge can serve, which it could not; 0: it did not
+}
+
+func (d *pgFront) fresh() bool { return d.partAt == 0 }
+func (d *pgFront) begin()      { d.partAt = 0 }
+
+// waits ends a client that does not get on with its start-up, or with what it began.
+func (d *pgFront) waits() (until logic.Nanos) {
+	cc := d.cc
+	l := cc.l
+	door := &l.p.plan.Door
+	switch {
+	case d.asksAt > 0:
+		d.asksAt = 0
+		cc.read()
+		if cc.closed || cc.state != reading {
+			return 0
+		}
+		return l.now + 5*logic.Millisecond
+	case d.partAt > 0 || !d.from.Started():
+		until = cc.since + logic.Nanos(door.SlowHead)
+		if d.partAt > 0 {
+			until = d.partAt + logic.Nanos(door.SlowBody)
+		}
+		if until <= l.now {
+			l.stats.refused++
+			d.end("08P01", "the message came too slowly")
+			return 0
+		}
+	default:
+		if until = cc.since + logic.Nanos(door.Idle); until <= l.now || l.draining && l.now >= l.drainAt+linger {
+			cc.close(false)
+			return 0
+		}
+		if l.draining {
+			until = l.drainAt + linger
+		}
+	}
+	return until
+}
+
+// end tells the client what was wrong, and ends the connection: what follows cannot be trusted to be a message.
+func (d *pgFront) end(code, text string) {
+	cc := d.cc
+	l := cc.l
+	cc.used(len(cc.input()))
+	l.scratch = pgwire.AppendError(l.scratch[:0], true, code, text, "")
+	cc.put(l.scratch)
+	cc.close(false)
+}
+
+func (d *pgFront) read(in []byte) bool {
+	cc := d.cc
+	l := cc.l
+	size, want, text, err := d.from.Next(in)
+	if err == pgwire.ErrMore {
+		if d.partAt == 0 {
+			d.partAt = l.now
+			l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.SlowBody))
+		}
+		return false
+	}
+	if err != nil {
+		var f *pgwire.Fault
+		errors.As(err, &f)
+		l.stats.refused++
+		d.end(f.Code, f.What)
+		return false
+	}
+	d.partAt = 0
+	switch want {
+	case pgwire.Encryption:
+		cc.used(size)
+		cc.put(pgwire.NoEncryption)
+	case pgwire.Start:
+		cc.used(size)
+		cc.put(pgwire.Welcome)
+		cc.since = l.now
+		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.Idle))
+	case pgwire.Leave:
+		cc.used(size)
+		cc.close(false)
+	case pgwire.Empty:
+		if !l.canServe() {
+			d.asksAt = l.now
+			l.armClient(cc, l.now+5*logic.Millisecond)
+			return false
+		}
+		cc.used(size)
+		cc.put(pgwire.EmptyAnswer)
+	case pgwire.Statement:
+		d.statement(size, text)
+	}
+	return !cc.closed
+}
+
+// statement hands a txn to the module, or says what is wrong with it.
+func (d *pgFront) statement(size int, text []byte) {
+	cc := d.cc
+	l := cc.l
+	var a Asked
+	if f := d.s.dialect.Read(text, &a); f != nil {
+		l.stats.refused++
+		cc.used(size)
+		d.error(f.Code, f.What, "")
+		return
+	}
+	// Danger: two txns under one id would be one to the workers, and one answer pass for the other's.
+	if _, open := l.outers[a.ID]; open {
+		l.stats.refused++
+		cc.used(size)
+		d.error("42710", "this id is open already", "")
+		return
+	}
+	if l.calls.used() >= l.p.plan.Door.Open {
+		l.stats.atDoor++
+		cc.used(size)
+		d.error("53300", "declined: too many are open", "")
+		return
+	}
+	c := l.newCall()
+	c.client, cc.call = cc, c
+	c.product, c.keep, c.outer = int(a.Product), true, a.ID
+	c.in = logic.Txn{Product: a.Product, Customer: a.Customer, Key: a.Key, Cost: a.Cost, Repeat: a.Repeat, Expiry: l.now + a.Patience}
+	c.request = append(c.request[:0], text...)
+	c.from, c.to = a.From, a.To
+	l.outers[a.ID] = struct{}{}
+	cc.used(size)
+	cc.whole()
+}
+
+// error answers what was never taken, or the txn in hand.
+func (d *pgFront) error(code, text, detail string) {
+	l := d.cc.l
+	l.scratch = pgwire.AppendError(l.scratch[:0], false, code, text, detail)
+	d.cc.put(l.scratch)
+}
+
+func (d *pgFront) declined(c *call, after logic.Nanos) {
+	detail := ""
+	if after > 0 {
+		detail = strconv.FormatInt(int64((after+logic.Millisecond-1)/logic.Millisecond), 10)
+	}
+	d.error("53300", "declined: trying again does no harm", detail)
+}
+
+func (d *pgFront) voided(c *call) {
+	if l := d.cc.l; c.last == logic.TimedOut || l.now >= c.in.Expiry {
+		d.error("57014", "voided: no answer in time; it may have had its effect", "")
+	} else {
+		d.error("58000", "voided: it may have had its effect", "")
+	}
+}
+
+// pgBack is a connection to a worker.
+type pgBack struct {
+	wc      *workerConn
+	s       *pgSpeech
+	from    pgwire.Back
+	writing bool
+	out     []byte
+}
+
+func (k *pgBack) opened() { k.wc.c.Write(k.s.hello) }
+
+// ask writes a statement, with the patience that is left.
+func (k *pgBack) ask(c *call, n int) error {
+	wc := k.wc
+	l := wc.l
+	k.writing = true
+	if !k.from.Ask() {
+		return errors.New("the connection is not idle")
+	}
+	left := max(1, int64((c.in.Expiry-l.now)/logic.Millisecond))
+	var digits [20]byte
+	l.scratch = pgwire.AppendQuery(l.scratch[:0], c.request[:c.from], strconv.AppendInt(digits[:0], left, 10), c.request[c.to:])
+	l.stats.bytesOut += uint64(len(l.scratch))
+	_, err := wc.c.Write(l.scratch)
+	k.writing = false
+	return err
+}
+
+func (k *pgBack) unsent() bool { return k.writing || !k.wc.closed && k.wc.c.OutboundBuffered() > 0 }
+
+func (k *pgBack) forget() {
+	if cap(k.from.Pass) > 8<<10 {
+		k.from.Pass = nil
+	}
+}
+
+func (k *pgBack) ends(error) bool {
+	if k.wc.call == nil || !k.from.Refused() {
+		return false
+	}
+	k.refused(true)
+	return true
+}
+
+func (k *pgBack) read(in []byte) bool {
+	wc := k.wc
+	l := wc.l
+	if len(in) == 0 {
+		return false
+	}
+	size, told, err := k.from.Next(in)
+	if err == pgwire.ErrMore {
+		return false
+	}
+	if err != nil {
+		if wc.greets {
+			l.stats.garbage++
+			l.closeWorker(wc, true)
+		} else {
+			wc.fault()
+		}
+		return false
+	}
+	wc.c.Discard(size)
+	switch told {
+	case pgwire.Open:
+		l.ready(wc)
+		return !wc.closed
+	case pgwire.Value:
+		k.load()
+		out := append(k.from.Pass, pgwire.Ready...)
+		l.complete(wc, logic.OK, out, false)
+		return false
+	case pgwire.Refusal:
+		if wc.greets { // too many connections: nothing was asked
+			l.closeWorker(wc, true)
+			return false
+		}
+		k.refused(k.from.Refused())
+		return false
+	}
+	return true
+}
+
+// refused completes a submission that was answered with an error.
+func (k *pgBack) refused(shut bool) {
+	k.load()
+	e := logic.Erred
+	if k.from.Code == "53300" {
+		e = logic.Full
+	}
+	k.wc.l.complete(k.wc, e, nil, shut)
+}
+
+func (k *pgBack) load() {
+	wc := k.wc
+	wc.loaded = k.from.Load != nil && k.s.dialect.Load(k.from.Load, &wc.load) && plausible(&wc.load)
+}
--- a/edge/process.go
+++ b/edge/process.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -38,6 +39,8 @@
 	log       *zap.Logger
 	loops     []*loop
 	routes    classifier
+	speech    speech
+	live      *Live // nil: by file or API
 	customers map[string]int
 	zones     map[string]int
 	kinds     map[string]int
@@ -63,18 +66,23 @@
 
 // New makes an edge of a checked plan. It listens when Run is called.
 func New(plan *config.Edge, log *zap.Logger) *Process {
-	p := &Process{plan: plan, log: log, routes: newTable(plan.Routes), customers: numbers(plan.Customers, 1),
+	p := newProcess(plan, log)
+	if plan.Source.API != "" {
+		p.source = newAPISource(plan.Source.API, plan.Name, log)
+	} else {
+		p.source = newFileSource(plan.Source.File, log)
+	}
+	return p
+}
+
+func newProcess(plan *config.Edge, log *zap.Logger) *Process {
+	p := &Process{plan: plan, log: log, routes: newTable(plan.Routes), speech: httpSpeech{}, customers: numbers(plan.Customers, 1),
 		zones: numbers(plan.Zones, 0), kinds: numbers(plan.Kinds, 0), products: map[string]int{}, began: time.Now(),
 		kept: map[string]api.Worker{}}
 	p.epoch = p.began.UnixNano()
 	for i := range plan.Products {
 		p.products[plan.Products[i].Name] = i
 	}
-	if plan.Source.API != "" {
-		p.source = newAPISource(plan.Source.API, plan.Name, log)
-	} else {
-		p.source = newFileSource(plan.Source.File, log)
-	}
 	return p
 }
 
@@ -104,6 +112,9 @@
 		runtime.GOMAXPROCS(p.plan.Loops + 1)
 	}
 	list, news := p.restore()
+	if p.live != nil {
+		list, news = p.live.told()
+	}
 	if err := p.openPeers(); err != nil {
 		return err
 	}
@@ -141,6 +152,7 @@
 	}
 	<-ctx.Done()
 	began := time.Now()
+	time.Sleep(p.plan.KeepOpen) // clients still come for as long
 	p.listener.Close()
 	accepting.Wait()
 	held := p.drain()
@@ -237,7 +249,7 @@
 func (l *loop) beginDrain() int64 {
 	l.draining, l.drainAt = true, l.now
 	for _, cc := range l.doors.items {
-		if !cc.closed && cc.c != nil && cc.state == readHead {
+		if !cc.closed && cc.c != nil && cc.state == reading && cc.says.fresh() {
 			l.armClient(cc, l.now+linger)
 		}
 	}
@@ -271,9 +283,9 @@
 
 // ---- What the source tells ----
 
-// workers takes a list event. A line that makes no sense is named and changes nothing, but that what it takes out of
+// Workers takes a list event. A line that makes no sense is named and changes nothing, but that what it takes out of
 // service goes out of service; the others count.
-func (p *Process) workers(e api.WorkersEvent) {
+func (p *Process) Workers(e api.WorkersEvent) {
 	lines := make([]api.Worker, 0, len(e.Workers))
 	p.mu.Lock()
 	for _, w := range e.Workers {
@@ -338,12 +350,16 @@
 		if pool.gone = state == logic.Gone; pool.gone {
 			delete(l.starts, id)
 		}
+		if state != logic.Up {
+			l.dropWaiting(pool)
+		}
 	}
 	if mode == logic.Whole {
 		for id, pool := range l.pools {
 			if !listed[id] {
 				pool.gone = true
 				delete(l.starts, id)
+				l.dropWaiting(pool)
 			}
 		}
 	}
@@ -370,7 +386,8 @@
 	}
 	is := startOf{stamp: w.StartedAt, address: w.Address, build: w.Build}
 	switch {
-	case w.StartedAt != 0 && (!known || was.stamp != w.StartedAt):
+	case w.StartedAt == 0 && l.p.live != nil: // each start is told
+	case w.StartedAt != 0 && (!known || was.stamp != w.StartedAt || l.p.live != nil):
 		// The clocks differ, the age does not; it is taken once, or each telling would look like a new start.
 		is.local = l.now - logic.Nanos(max(0, platform-w.StartedAt))
 	case known || l.heard:
@@ -396,6 +413,7 @@
 		if p != nil {
 			p.gone = true
 			l.closeIdle(p)
+			l.dropWaiting(p)
 		}
 		p = &pool{id: id, address: address}
 		l.pools[id] = p
@@ -439,7 +457,7 @@
 	return !overtaken
 }
 
-func (p *Process) release(e api.ReleaseEvent) {
+func (p *Process) Release(e api.ReleaseEvent) {
 	n := newsOf(e, false)
 	p.heeds(e.Release, func() {
 		for _, l := range p.loops {
@@ -468,7 +486,7 @@
 	p.save(true)
 }
 
-func (p *Process) report(r api.Report) {
+func (p *Process) Report(r api.Report) {
 	product, known := p.products[r.Product]
 	if !known {
 		return
@@ -482,7 +500,7 @@
 	}
 }
 
-func (p *Process) tally(t api.Tally) {
+func (p *Process) Tally(t api.Tally) {
 	product, known := p.products[t.Product]
 	if !known {
 		return
@@ -562,24 +580,35 @@
 	}
 	own := p.peers[int(p.plan.Module["index"].(float64))]
 	var err error
+	if p.plan.PeerListen != "" {
+		if own, err = net.ResolveUDPAddr("udp", p.plan.PeerListen); err != nil {
+			return fmt.Errorf("peer %s: %w", p.plan.PeerListen, err)
+		}
+	}
 	if p.tells, err = net.ListenUDP("udp", own); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
 	go func() { // ended by the socket's close
 		buf := make([]byte, 4+longestTell+1)
 		for {
-			n, _, err := p.tells.ReadFromUDP(buf)
+			n, from, err := p.tells.ReadFromUDPAddrPort(buf)
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if p.plan.PeerListen != "" { // bare: its sender's address says whose it is
+				if err == nil && n <= longestTell {
+					p.hearPeer(from, append([]byte(nil), buf[:n]...))
+				}
+				continue
+			}
 			if err != nil || n < 4 || n > 4+longestTell {
 				continue
 			}
-			from, to := int(binary.BigEndian.Uint16(buf)), int(binary.BigEndian.Uint16(buf[2:]))
+			sender, to := int(binary.BigEndian.Uint16(buf)), int(binary.BigEndian.Uint16(buf[2:]))
 			data := append([]byte(nil), buf[4:n]...)
 			for _, l := range p.loops {
 				if l.number == to {
-					l.post(func() { l.tellTold(from, data) })
+					l.post(func() { l.tellTold(sender, data) })
 				}
 			}
 		}
@@ -587,11 +616,27 @@
 	return nil
 }
 
+// hearPeer passes on what another sentry sent; what comes from elsewhere is dropped.
+func (p *Process) hearPeer(from netip.AddrPort, data []byte) {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	for i, a := range p.peers {
+		if at := a.AddrPort(); netip.AddrPortFrom(at.Addr().Unmap(), at.Port()) == from {
+			l := p.loops[0]
+			l.post(func() { l.tellTold(i, data) })
+			return
+		}
+	}
+}
+
 // tell sends a message to another sentry, or loses it.
 func (p *Process) tell(from, to int, data []byte) {
 	if p.tells == nil || to < 0 || to >= len(p.peers) || len(data) > longestTell {
 		return
 	}
+	if p.plan.PeerListen != "" {
+		p.tells.WriteToUDP(data, p.peers[to])
+		return
+	}
 	msg := binary.BigEndian.AppendUint16(nil, uint16(from))
 	msg = binary.BigEndian.AppendUint16(msg, uint16(to))
 	p.tells.WriteToUDP(append(msg, data...), p.peers[to])
--- /dev/null
+++ b/edge/seam.go
@@ -0,0 +1,45 @@
+package edge
+
+import "dunegrade/logic"
+
+// speech is the seam that every protocol stands behind: how requests, answers and the host's own answers look as bytes.
+// A speech decides nothing about a txn; it tells the host what has come in whole, and writes what the host says.
+type speech interface {
+	// front makes the client's side of a new connection; was is one of an ended connection, or nil.
+	front(cc *clientConn, was frontSpeech) frontSpeech
+	// back makes the worker's side of a new connection; was is one of an ended connection, or nil.
+	back(wc *workerConn, was backSpeech) backSpeech
+}
+
+// frontSpeech is one client's connection in a protocol.
+type frontSpeech interface {
+	// read takes a part of what has come in, and tells whether there may be more to do. What is whole goes to
+	// clientConn.whole.
+	read(in []byte) bool
+	// waits gives when the connection, with nothing in hand, is to be looked at again. Where what it waited for is
+	// over, it has ended the connection and gives 0.
+	waits() logic.Nanos
+	// fresh tells whether nothing of a request has come, and begin that the next one may.
+	fresh() bool
+	begin()
+	// declined and voided answer the txn in hand.
+	declined(c *call, after logic.Nanos)
+	voided(c *call)
+}
+
+// backSpeech is one connection to a worker in a protocol.
+type backSpeech interface {
+	// opened is told that the connection stands. It calls loop.ready, now or once a greeting is through.
+	opened()
+	// ask writes submission n of a call.
+	ask(c *call, n int) error
+	// read takes what has come in, up to a whole answer at the most, which goes to loop.complete; it tells whether
+	// there may be more to do.
+	read(in []byte) bool
+	// ends tells whether the connection's end was the end of an answer, which it has then completed.
+	ends(err error) bool
+	// unsent tells whether a part of what was asked is still in this host.
+	unsent() bool
+	// forget frees what large answers have left behind.
+	forget()
+}
--- a/edge/source.go
+++ b/edge/source.go
@@ -20,18 +20,18 @@
 	"dunegrade/config"
 )
 
-// hearer is told what a source learns, from the source's goroutines.
-type hearer interface {
-	workers(api.WorkersEvent)
-	release(api.ReleaseEvent)
-	report(api.Report)
-	tally(api.Tally)
+// Hearer is told what a source learns, from the source's goroutines.
+type Hearer interface {
+	Workers(api.WorkersEvent)
+	Release(api.ReleaseEvent)
+	Report(api.Report)
+	Tally(api.Tally)
 }
 
 // Source tells of workers and releases, and takes votes.
 type Source interface {
 	// Run tells to until ctx ends. It starts no goroutine that outlives it.
-	Run(ctx context.Context, to hearer)
+	Run(ctx context.Context, to Hearer)
 	// Refresh has the whole list told again. It does not block.
 	Refresh()
 	// Vote casts a vote. Its errors are those of api.Client.Vote.
@@ -56,7 +56,7 @@
 	return s.client.Vote(ctx, v)
 }
 
-func (s *apiSource) Run(ctx context.Context, to hearer) {
+func (s *apiSource) Run(ctx context.Context, to Hearer) {
 	defer s.client.Close()
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -81,7 +81,7 @@
 				return fmt.Errorf("event of type %q: found neither whole, change nor bookmark; the whole list is needed", e.Type)
 			}
 			revision = e.Revision
-			to.workers(e)
+			to.Workers(e)
 			return nil
 		})
 	})
@@ -92,7 +92,7 @@
 				return fmt.Errorf("malformed event: %w", err)
 			}
 			if e.Type != api.Bookmark {
-				to.release(e)
+				to.Release(e)
 			}
 			return nil
 		})
@@ -104,7 +104,7 @@
 				return fmt.Errorf("malformed event: %w", err)
 			}
 			if e.Type != api.Bookmark {
-				to.report(e)
+				to.Report(e)
 			}
 			return nil
 		})
@@ -116,7 +116,7 @@
 				return fmt.Errorf("malformed event: %w", err)
 			}
 			if t.Type != api.Bookmark {
-				to.tally(t)
+				to.Tally(t)
 			}
 			return nil
 		})
@@ -189,7 +189,7 @@
 // coarsely.
 const settled = 2 * time.Second
 
-func (s *fileSource) Run(ctx context.Context, to hearer) {
+func (s *fileSource) Run(ctx context.Context, to Hearer) {
 	var seen time.Time // the change that was read when it was old enough
 	var last []byte    // what was read then, nil: nothing yet
 	away := false      // it could not be read
@@ -231,13 +231,13 @@
 }
 
 // tell hands on what a file's text says; one that is refused leaves in force what was told before.
-func (s *fileSource) tell(to hearer, revision uint64, text []byte) {
+func (s *fileSource) tell(to Hearer, revision uint64, text []byte) {
 	list, err := config.ParseList(s.path, string(text))
 	if err != nil {
 		s.log.Error("list file refused", zap.Error(err))
 		return
 	}
 	now := time.Now().UnixNano()
-	to.workers(api.WorkersEvent{Type: api.Whole, Revision: revision, Now: now, Workers: list.Workers})
-	to.release(api.ReleaseEvent{Type: api.Whole, Revision: revision, Now: now, Release: list.Release})
+	to.Workers(api.WorkersEvent{Type: api.Whole, Revision: revision, Now: now, Workers: list.Workers})
+	to.Release(api.ReleaseEvent{Type: api.Whole, Revision: revision, Now: now, Release: list.Release})
 }
--- a/edge/source_test.go
+++ b/edge/source_test.go
@@ -33,10 +33,10 @@
 func newEar() *ear {
 	return &ear{make(chan api.WorkersEvent, 64), make(chan api.ReleaseEvent, 64), make(chan api.Report, 64), make(chan api.Tally, 64)}
 }
-func (e *ear) workers(x api.WorkersEvent) { e.lists <- x }
-func (e *ear) release(x api.ReleaseEvent) { e.releases <- x }
-func (e *ear) report(x api.Report)        { e.reports <- x }
-func (e *ear) tally(x api.Tally)          { e.tallies <- x }
+func (e *ear) Workers(x api.WorkersEvent) { e.lists <- x }
+func (e *ear) Release(x api.ReleaseEvent) { e.releases <- x }
+func (e *ear) Report(x api.Report)        { e.reports <- x }
+func (e *ear) Tally(x api.Tally)          { e.tallies <- x }
 
 // hear runs a source until the test ends.
 func hear(t *testing.T, s Source) *ear {
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -2,31 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"net"
-	"strconv"
-	"strings"
 	"unsafe"
 
 	"github.com/panjf2000/gnet/v2"
 
-	"dunegrade/http1"
 	"dunegrade/logic"
 )
 
-// backState is what a worker's connection waits for.
-type backState uint8
-
-const (
-	idle backState = iota
-	atHead
-	inFixed
-	inChunks
-	inOpen // a body that ends with the connection
-)
-
 // workerConn is one connection to a worker. It carries one submission at a time.
 type workerConn struct {
 	l      *loop
@@ -35,19 +18,14 @@
 	at     int32
 	gen2   uint32 // of this place
 	closed bool
-	state  backState
 	call   *call // whose submission n is out here, or nil
 	gen    uint32
 	n      int
 	used   int // submissions it has carried
-	status int
-	shut   bool   // the worker closes after this answer
-	buf    []byte // the answer's head as the client gets it; with a known length, its body as well
-	body   []byte // a body whose length is not known yet
-	left   int64
-	chunks http1.Dechunker
+	says   backSpeech
 	load   logic.Load
 	loaded bool
+	greets bool        // it stands, and cannot be asked yet
 	since  logic.Nanos // when it became idle
 	armed  logic.Nanos
 }
@@ -91,9 +69,21 @@
 
 func (l *loop) openWorker(c gnet.Conn, p *pool) {
 	at, wc := l.backs.take()
-	buf, body := wc.buf[:0], wc.body[:0]
-	*wc = workerConn{l: l, c: c, pool: p, at: at, gen2: wc.gen2 + 1, buf: buf, body: body}
+	was := wc.says
+	*wc = workerConn{l: l, c: c, pool: p, at: at, gen2: wc.gen2 + 1, greets: true, since: l.now}
+	wc.says = l.p.speech.back(wc, was)
 	c.SetContext(wc)
+	l.armWorker(wc, l.now+l.connectTimeout)
+	wc.says.opened()
+}
+
+// ready takes a connection that can be asked.
+func (l *loop) ready(wc *workerConn) {
+	if wc.greets {
+		wc.greets = false
+		wc.pool.dialing--
+		l.dialing--
+	}
 	l.offer(wc)
 }
 
@@ -107,7 +97,15 @@
 
 // lookAtWorker closes a connection that has been idle for too long.
 func (l *loop) lookAtWorker(wc *workerConn) {
-	if wc.state != idle {
+	if wc.greets { // Danger: a worker that takes connections and says nothing would hold them, and who waits for them
+		if wc.since+l.connectTimeout > l.now {
+			l.armWorker(wc, wc.since+l.connectTimeout)
+			return
+		}
+		l.closeWorker(wc, true)
+		return
+	}
+	if wc.call != nil {
 		return // armed again when it is idle
 	}
 	if wc.since+l.workerIdle <= l.now {
@@ -145,18 +143,20 @@
 	wc.closed, wc.call, wc.c = true, nil, nil
 	wc.gen2++
 	p.conns--
+	if wc.greets { // it never came up
+		wc.greets = false
+		p.dialing--
+		l.dialing--
+		l.stats.dialsFailed++
+		l.noneFor(p)
+	}
 	for i, x := range p.idle {
 		if x == wc {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			break
 		}
 	}
-	if cap(wc.buf) > keptBuffer {
-		wc.buf = nil
-	}
-	if cap(wc.body) > keptBuffer {
-		wc.body = nil
-	}
+	wc.says.forget()
 	l.backs.give(wc.at)
 	l.open(p)
 }
@@ -165,16 +165,20 @@
 func (wc *workerConn) gone(err error) {
 	l := wc.l
 	c, n := wc.call, wc.n
-	if c != nil && wc.state == inOpen && errors.Is(err, io.EOF) {
-		l.complete(wc, true)
+	if c != nil && wc.says.ends(err) {
 		if !wc.closed {
 			wc.release()
 		}
 		return
 	}
+	// What never left this host whole cannot have run.
+	e := logic.Broken
+	if c != nil && wc.says.unsent() {
+		e = logic.ConnectFailed
+	}
 	wc.release()
 	if c != nil {
-		l.ended(c, n, logic.Broken, nil)
+		l.ended(c, n, e, nil)
 	}
 }
 
@@ -183,56 +187,15 @@
 	l := wc.l
 	for !wc.closed {
 		size := wc.c.InboundBuffered()
-		if size == 0 && !(wc.state == inFixed && wc.left == 0) {
-			return
-		}
-		in, _ := wc.c.Peek(size)
-		switch wc.state {
-		case idle:
+		if wc.call == nil && !wc.greets && size > 0 {
 			// Danger: bytes that nobody asked for would pass for the next txn's answer.
 			l.stats.garbage++
 			l.closeWorker(wc, true)
 			return
-		case atHead:
-			if !wc.head(in) {
-				return
-			}
-		case inFixed:
-			n := int(min(wc.left, int64(len(in))))
-			wc.buf = append(wc.buf, in[:n]...)
-			if n > 0 {
-				wc.c.Discard(n)
-			}
-			if wc.left -= int64(n); wc.left == 0 {
-				l.complete(wc, wc.shut)
-				return
-			}
-			if wc.overflows(len(wc.buf)) {
-				return
-			}
-		case inChunks:
-			took, data, done, err := wc.chunks.Next(in)
-			if err != nil && err != http1.ErrMore {
-				wc.fault()
-				return
-			}
-			wc.body = append(wc.body, data...)
-			if took > 0 {
-				wc.c.Discard(took)
-			}
-			if done {
-				l.complete(wc, wc.shut)
-				return
-			}
-			if wc.overflows(len(wc.body)) || err != nil || took == 0 {
-				return
-			}
-		case inOpen:
-			wc.body = append(wc.body, in...)
-			wc.c.Discard(len(in))
-			if wc.overflows(len(wc.body)) {
-				return
-			}
+		}
+		in, _ := wc.c.Peek(size)
+		if !wc.says.read(in) {
+			return
 		}
 	}
 }
@@ -245,124 +208,12 @@
 	l.ended(c, n, logic.Erred, nil)
 }
 
-// head reads an answer's head, and tells whether there may be more to do.
-func (wc *workerConn) head(in []byte) bool {
-	l, c := wc.l, wc.call
-	r := &l.resp
-	n, err := r.Parse(in, int(l.p.plan.Workers.Answer), c.toHead)
-	if err == http1.ErrMore {
-		return false
-	}
-	if err != nil || r.Status == 101 {
-		wc.fault()
-		return false
-	}
-	if r.Status < 200 { // nothing final yet
-		wc.c.Discard(n)
-		return true
-	}
-	wc.status, wc.shut = r.Status, r.Close
-	wc.loaded = readLoad(r, &wc.load)
-	wc.buf = append(wc.buf[:0], "HTTP/1.1 "...)
-	wc.buf = strconv.AppendInt(wc.buf, int64(r.Status), 10)
-	wc.buf = append(wc.buf, ' ')
-	wc.buf = append(wc.buf, r.Reason...)
-	wc.buf = append(wc.buf, "\r\n"...)
-	unseen := r.Status == 503 && r.Get("dunegrade-unseen") != nil
-	wc.buf = r.AppendFields(wc.buf)
-	wc.buf = append(wc.buf, viaLine...)
-	if unseen {
-		wc.status = unseenStatus
-	}
-	length := r.Length
-	if c.toHead {
-		if v := r.Get("content-length"); v != nil {
-			wc.buf = append(wc.buf, "Content-Length: "...)
-			wc.buf = append(wc.buf, v...)
-			wc.buf = append(wc.buf, "\r\n"...)
-		}
-	}
-	wc.c.Discard(n)
-	switch {
-	case length == http1.Chunked:
-		wc.state, wc.chunks = inChunks, http1.Dechunker{}
-	case length == http1.UntilClose:
-		wc.state = inOpen
-	default:
-		wc.state, wc.left = inFixed, length
-		if !c.toHead && r.Status != 204 && r.Status != 304 {
-			wc.buf = append(wc.buf, "Content-Length: "...)
-			wc.buf = strconv.AppendInt(wc.buf, length, 10)
-			wc.buf = append(wc.buf, "\r\n"...)
-		}
-		if c.client != nil && !c.answered && (!c.keep || l.draining) {
-			wc.buf = append(wc.buf, "Connection: close\r\n"...)
-		} else if c.minor == 0 && c.keep {
-			wc.buf = append(wc.buf, "Connection: keep-alive\r\n"...)
-		}
-		wc.buf = append(wc.buf, "\r\n"...)
-	}
-	if c.product >= 0 && l.p.plan.Products[c.product].Stream && length != 0 && settles(wc.status) {
-		return !wc.overflows(1 << 62)
-	}
-	return true
-}
-
-const unseenStatus = 1503 // a 503 that says that the txn was turned away unseen
-
-func settles(status int) bool { return status < 500 }
-
-// overflows hands an answer that is too large to be kept whole, or that streams, on to a carrier.
-func (wc *workerConn) overflows(size int) bool {
-	l, c := wc.l, wc.call
-	if int64(size) <= l.p.plan.Door.Answer {
-		return false
-	}
-	if c.answered || c.left || !settles(wc.status) {
-		// Nobody waits for it: what is not wanted must not fill memory.
-		n := wc.n
-		e := logic.OK
-		if !settles(wc.status) {
-			e = logic.Erred
-		}
-		l.closeWorker(wc, true)
-		l.ended(c, n, e, nil)
-		return true
-	}
-	return l.carry(wc)
-}
-
-// complete takes a whole answer.
-func (l *loop) complete(wc *workerConn, shut bool) {
+// complete takes a whole answer: how the submission ended, and what its client is to get where it is OK.
+func (l *loop) complete(wc *workerConn, e logic.Ending, out []byte, shut bool) {
 	c, n := wc.call, wc.n
-	e := logic.OK
-	switch {
-	case wc.status == unseenStatus:
-		e = logic.Full
-	case !settles(wc.status):
-		e = logic.Erred
-		c.lastBad = wc.status
-	}
 	if e == logic.OK && !c.answered && !c.left {
 		l.stats.settled++
-		c.status = wc.status
 		cc := c.client
-		out := wc.buf
-		if wc.state != inFixed { // a body whose length is known only now
-			if c.toHead {
-				out = append(out, "\r\n"...)
-			} else {
-				out = append(out, "Content-Length: "...)
-				out = strconv.AppendInt(out, int64(len(wc.body)), 10)
-				out = append(out, "\r\n"...)
-				if !c.keep || l.draining {
-					out = append(out, "Connection: close\r\n"...)
-				}
-				out = append(out, "\r\n"...)
-				out = append(out, wc.body...)
-			}
-			wc.buf = out
-		}
 		cc.put(out)
 		if cc.call == c {
 			cc.answered()
@@ -377,7 +228,7 @@
 		load = &wc.load
 	}
 	if !wc.closed {
-		wc.call, wc.state = nil, idle
+		wc.call = nil
 	}
 	l.ended(c, n, e, load)
 	if wc.closed {
@@ -393,69 +244,6 @@
 	l.offer(wc)
 }
 
-// readLoad maps a load report in the open ORCA form to the module's figures: the header endpoint-load-metrics,
-// as TEXT or JSON. Queue and txns in hand are named metrics, queue and busy. What is malformed is no report.
-func readLoad(r *http1.Response, to *logic.Load) bool {
-	v := r.Get("endpoint-load-metrics")
-	if v == nil {
-		return false
-	}
-	*to = logic.Load{Util: -1, Queue: -1, Busy: -1}
-	text := view(v)
-	if after, found := strings.CutPrefix(text, "JSON "); found {
-		var report struct {
-			CPU   *float64           `json:"cpu_utilization"`
-			App   *float64           `json:"application_utilization"`
-			Named map[string]float64 `json:"named_metrics"`
-		}
-		if json.Unmarshal([]byte(after), &report) != nil {
-			return false
-		}
-		if report.CPU != nil {
-			to.Util = *report.CPU
-		} else if report.App != nil {
-			to.Util = *report.App
-		}
-		if q, ok := report.Named["queue"]; ok {
-			to.Queue = q
-		}
-		if b, ok := report.Named["busy"]; ok {
-			to.Busy = b
-		}
-		return plausible(to)
-	}
-	text = strings.TrimPrefix(text, "TEXT ")
-	for len(text) > 0 {
-		one := text
-		if at := strings.IndexByte(text, ','); at >= 0 {
-			one, text = text[:at], text[at+1:]
-		} else {
-			text = ""
-		}
-		name, value, ok := strings.Cut(strings.TrimSpace(one), "=")
-		if !ok {
-			return false
-		}
-		f, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			return false
-		}
-		switch name {
-		case "cpu_utilization":
-			to.Util = f
-		case "application_utilization":
-			if to.Util < 0 {
-				to.Util = f
-			}
-		case "named_metrics.queue":
-			to.Queue = f
-		case "named_metrics.busy":
-			to.Busy = f
-		}
-	}
-	return plausible(to)
-}
-
 // plausible refuses what no worker can mean. Danger: one NaN in a smoothed figure stays there for good.
 func plausible(l *logic.Load) bool {
 	for _, f := range [3]float64{l.Util, l.Queue, l.Busy} {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,15 +18,11 @@
 
 // instance is one hosted sentry with its own tables of names.
 type instance struct {
-	sentry    *logic.Sentry
-	number    int
-	out       *bytes.Buffer
-	products  map[string]int
-	customers map[string]int
-	zones     map[string]int
-	kinds     map[string]int
-	fields    []string
-	failed    bool
+	sentry *logic.Sentry
+	number int
+	out    *bytes.Buffer
+	failed bool
+	*Terms
 }
 
 type host struct {
@@ -189,44 +185,13 @@
 	if r.fault != nil {
 		return r.fault
 	}
-	settings := map[string]any{}
-	flatten(settings, "", "", params)
-	in := &instance{number: number, out: &h.out, products: names(params["classes"], 0),
-		customers: names(params["realms"], 1), zones: names(params["localities"], 0),
-		kinds: names(params["skus"], 0)}
-	if rep, ok := params["report"].(map[string]any); ok {
-		if fields, ok := rep["fields"].([]any); ok {
-			for _, f := range fields {
-				s, _ := f.(string)
-				in.fields = append(in.fields, s)
-			}
-		}
-	}
-	if zone, ok := params["locality"].(string); ok {
-		if n, known := in.zones[zone]; known {
-			settings["zone"] = float64(n)
-		}
-	}
+	terms := Translate(params)
+	in := &instance{number: number, out: &h.out, Terms: terms}
 	h.instances[number] = in
-	in.guard(func() { in.sentry = logic.New(h.now, seed, settings, in) })
+	in.guard(func() { in.sentry = logic.New(h.now, seed, terms.Module, in) })
 	return nil
 }
 
-// names numbers the names of a list of texts or of objects with a name.
-func names(list any, from int) map[string]int {
-	m := map[string]int{}
-	entries, _ := list.([]any)
-	for i, e := range entries {
-		if o, ok := e.(map[string]any); ok {
-			e = o["name"]
-		}
-		if s, ok := e.(string); ok {
-			m[s] = i + from
-		}
-	}
-	return m
-}
-
 func (h *host) decode(in *instance, name string, r *row) (func(), error) {
 	now, s := h.now, in.sentry
 	var call func()
@@ -249,9 +214,9 @@
 		var org any
 		r.get(3, "org", &org, false)
 		if o, ok := org.(string); ok && r.fault == nil {
-			t.Customer = logic.CustomerID(lookup(r, in.customers, o, "org"))
+			t.Customer = logic.CustomerID(lookup(r, in.Customers, o, "org"))
 		}
-		t.Product = logic.ProductID(lookup(r, in.products, r.text(4, "class"), "class"))
+		t.Product = logic.ProductID(lookup(r, in.Products, r.text(4, "class"), "class"))
 		marks := r.opt(5, "marks")
 		if key := r.optText(6, "resource"); key != "" {
 			f := fnv.New64a()
@@ -301,11 +266,11 @@
 		call = func() { s.News(now, n) }
 	case "countsByBuild":
 		t := logic.Tally{Rel: logic.RelID(r.num(2, "edition")), Many: int(r.num(3, "many")), Bad: int(r.num(4, "bad"))}
-		t.Product = logic.ProductID(lookup(r, in.products, r.text(6, "class"), "class"))
+		t.Product = logic.ProductID(lookup(r, in.Products, r.text(6, "class"), "class"))
 		t.Mean = logic.Nanos(r.opt(7, "costTime") * 1000)
 		call = func() { s.Tally(now, t) }
 	case "contested":
-		p := logic.ProductID(lookup(r, in.products, r.text(2, "class"), "class"))
+		p := logic.ProductID(lookup(r, in.Products, r.text(2, "class"), "class"))
 		w := h.workerID(r.text(3, "worker"))
 		age := r.time(4, "old")
 		call = func() { s.Contested(now, p, w, age) }
@@ -330,8 +295,8 @@
 		e.fault = fmt.Errorf("a census entry is not an array: %w", err)
 	}
 	w := logic.Worker{ID: h.workerID(e.text(0, "worker")), Weight: 1}
-	w.Zone = logic.ZoneID(lookup(&e, in.zones, e.text(1, "hall"), "hall"))
-	w.Kind = logic.KindID(in.kinds[e.optText(2, "machine")])
+	w.Zone = logic.ZoneID(lookup(&e, in.Zones, e.text(1, "hall"), "hall"))
+	w.Kind = logic.KindID(in.Kinds[e.optText(2, "machine")])
 	w.Cell = int(e.opt(3, "block"))
 	w.State = lookup(&e, states, e.text(4, "readiness"), "readiness")
 	e.get(5, "rating", &w.Weight, false)
@@ -352,18 +317,11 @@
 		return nil
 	}
 	l := &logic.Load{Util: -1, Queue: -1, Busy: -1}
-	for k, f := range in.fields {
+	for k, f := range in.Fields {
 		if k >= len(v) {
 			break
 		}
-		switch f {
-		case "cpu_share":
-			l.Util = v[k]
-		case "pending":
-			l.Queue = v[k]
-		case "busy_reqs":
-			l.Busy = v[k]
-		}
+		SetLoad(l, f, v[k])
 	}
 	return l
 }
--- a/wire/words.go
+++ b/wire/words.go
@@ -32,6 +32,8 @@
 	"caps.peers":               {"allow.messages", plain},
 	"caps.retryAfter":          {"allow.retry-after", plain},
 	"caps.maxRetryAfter":       {"allow.longest-retry-after", micros},
+	"caps.connectTimeout":      {"workers.connect-timeout", micros},
+	"caps.connIdle":            {"workers.idle", micros},
 	"familyInfo.voteMode":      {"release.votes", plain},
 	"familyInfo.bake":          {"release.bake", micros},
 	"familyInfo.noesNeeded":    {"release.votes-back", plain},
