--- a/edge/loop.go
+++ b/edge/loop.go
@@ -83,15 +83,16 @@
 	life   uint64          // drawn at the start
 	serial uint64          // of the last txn
 
-	calls   slab[call]
-	outers  map[uint64]struct{} // ids of the calls in hand, where clients give them
-	doors   slab[clientConn]
-	backs   slab[workerConn]
-	pools   map[logic.WorkerID]*pool
-	starts  map[logic.WorkerID]startOf
-	heard   bool // of a first list
-	dialing int
-	heap    timers
+	calls      slab[call]
+	outers     map[uint64]struct{} // ids of the calls in hand, where clients give them
+	doors      slab[clientConn]
+	backs      slab[workerConn]
+	pools      map[logic.WorkerID]*pool
+	starts     map[logic.WorkerID]startOf
+	heard      bool // of a first list
+	startsTold bool // by the source, for each worker; 0: long past
+	dialing    int
+	heap       timers
 
 	events  []event
 	acts    []act
@@ -139,7 +140,7 @@
 		uint64(p.plan.Seed)), uint64(number))) >> 1)
 	l := &loop{p: p, number: number, log: p.log.With(zap.Int("sentry", number)), rng: rand.New(rand.NewSource(seed)),
 		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1),
-		quit: make(chan struct{}), connectTimeout: logic.Nanos(p.plan.Workers.ConnectTimeout),
+		startsTold: p.live != nil, quit: make(chan struct{}), connectTimeout: logic.Nanos(p.plan.Workers.ConnectTimeout),
 		workerIdle: logic.Nanos(p.plan.Workers.Idle)}
 	l.life = xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(p.plan.Name), uint64(p.epoch)), uint64(number)))
 	return l
--- a/edge/process.go
+++ b/edge/process.go
@@ -386,8 +386,8 @@
 	}
 	is := startOf{stamp: w.StartedAt, address: w.Address, build: w.Build}
 	switch {
-	case w.StartedAt == 0 && l.p.live != nil: // each start is told
-	case w.StartedAt != 0 && (!known || was.stamp != w.StartedAt || l.p.live != nil):
+	case w.StartedAt == 0 && l.startsTold: // each start is told
+	case w.StartedAt != 0 && (!known || was.stamp != w.StartedAt || l.startsTold):
 		// The clocks differ, the age does not; it is taken once, or each telling would look like a new start.
 		is.local = l.now - logic.Nanos(max(0, platform-w.StartedAt))
 	case known || l.heard:
