Door and pools have bounds in sum; idle and silent clients are shed; keys met by unread answers

Exposure broke where a submission to the trial was called off, broke off or came spoilt after its worker had answered: such keys count as met.

--- a/config/edge.go
+++ b/config/edge.go
@@ -52,7 +52,11 @@
 	Idle, SlowHead, SlowBody    time.Duration
 	SlowReader                  time.Duration
 	Connections, Open, Pipeline int
-	Streams                     int // answers that carriers hand on at once
+	// Shed is how many connections more are taken while idle ones are ended for them; Spare is how long one must have
+	// been idle to be ended once half of all are in use.
+	Shed    int
+	Spare   time.Duration
+	Streams int // answers that carriers hand on at once
 }
 
 // Pools holds the limits on connections to workers, each loop by itself.
@@ -62,7 +66,8 @@
 	Dialing        int // at once, to all
 	ConnectTimeout time.Duration
 	Idle           time.Duration
-	Answer         int64 // bytes of an answer's head
+	Rest           time.Duration // between an answer and the next use of its connection
+	Answer         int64         // bytes of an answer's head
 }
 
 // Trace says what is recorded of the sentries' decisions, and for how long it is kept.
--- a/edge/call.go
+++ b/edge/call.go
@@ -159,12 +159,18 @@
 	if timeout > 0 && l.now+timeout < c.in.Expiry {
 		l.heap.push(timer{at: l.now + timeout, token: uint64(c.id()), kind: subEnd, n: uint8(n)})
 	}
-	for len(p.idle) > 0 {
-		wc := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if wc.closed {
+	for i := len(p.idle) - 1; i >= 0; i-- { // the one used last, as the others may be closing
+		wc := p.idle[i]
+		if l.now-wc.since < logic.Nanos(l.p.plan.Workers.Rest) {
+			continue // Danger: what a worker sends behind an answer would pass for the next one
+		}
+		if wc.says.stale() {
+			l.stats.stale++
+			l.closeWorker(wc, true)
+			i = min(i, len(p.idle))
 			continue
 		}
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		l.write(wc, c, n)
 		return
 	}
@@ -181,6 +187,11 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return !w.valid() })
 	for p.dialing < len(p.waiting) && p.conns < l.p.plan.Workers.Connections &&
 		l.dialing < l.p.plan.Workers.Dialing && !l.stopping {
+		if total := l.p.plan.Workers.Total; total > 0 && l.conns >= total && !l.spareOne(p) {
+			l.starved = append(l.starved, p)
+			return
+		}
+		l.conns++
 		p.dialing++
 		p.conns++
 		l.dialing++
@@ -189,10 +200,35 @@
 	}
 }
 
+// spareOne ends the connection of another pool that has been idle for longest, and tells whether there was one.
+func (l *loop) spareOne(but *pool) bool {
+	var best *workerConn
+	for _, wc := range l.backs.items {
+		if !wc.closed && wc.pool != nil && wc.pool != but && wc.call == nil && !wc.greets &&
+			(best == nil || wc.since < best.since) {
+			best = wc
+		}
+	}
+	if best != nil {
+		l.closeWorker(best, false)
+	}
+	return best != nil
+}
+
+// feed opens connections for pools that found none to be had.
+func (l *loop) feed() {
+	for len(l.starved) > 0 && l.conns < l.p.plan.Workers.Total {
+		p := l.starved[0]
+		l.starved = l.starved[1:]
+		l.open(p)
+	}
+}
+
 // dialed takes the end of a dial that failed.
 func (l *loop) dialFailed(p *pool) {
 	p.dialing--
 	p.conns--
+	l.conns--
 	l.dialing--
 	l.stats.dialsFailed++
 	l.noneFor(p)
--- a/edge/client.go
+++ b/edge/client.go
@@ -30,6 +30,7 @@
 	says    frontSpeech
 	call    *call // that is being read, or is in hand
 	early   []byte
+	opened  logic.Nanos
 	since   logic.Nanos // when this state began
 	armed   logic.Nanos // when it will be looked at; 0: not
 	served  uint64
@@ -51,7 +52,7 @@
 func (l *loop) openClient(c gnet.Conn, d *door) {
 	at, cc := l.doors.take()
 	was := cc.says
-	*cc = clientConn{l: l, c: c, at: at, gen: cc.gen + 1, since: l.now, early: d.early}
+	*cc = clientConn{l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
 	cc.says = l.p.speech.front(cc, was)
 	c.SetContext(cc)
 	l.stats.clients++
@@ -106,6 +107,30 @@
 	l.armClient(cc, until)
 }
 
+// shed ends the connection that can best be done without, where there is one: one that has asked nothing for longest,
+// else one that is idle for longest. Danger: clients that open connections and say nothing would lock out the others.
+func (l *loop) shed() {
+	if l.p.open.Load() < int64(l.p.plan.Door.Connections) {
+		return
+	}
+	var best *clientConn
+	for _, cc := range l.doors.items {
+		if cc.closed || cc.c == nil || cc.state != reading || !cc.says.fresh() || cc.served == 0 && l.now-cc.since < newcomer {
+			continue
+		}
+		if best == nil || cc.served == 0 && best.served > 0 || (cc.served == 0) == (best.served == 0) && cc.since < best.since {
+			best = cc
+		}
+	}
+	if best != nil {
+		l.stats.shed++
+		best.close(false)
+	}
+}
+
+// newcomer is how long a connection that has asked nothing yet is spared: its first request may be on its way.
+const newcomer = 100 * logic.Millisecond
+
 // close ends the connection; hard sends a reset in place of what has not been sent.
 func (cc *clientConn) close(hard bool) {
 	if cc.closed {
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -92,6 +92,8 @@
 	heard      bool // of a first list
 	startsTold bool // by the source, for each worker; 0: long past
 	dialing    int
+	conns      int     // to workers, open or being opened
+	starved    []*pool // that wait for one of them to end
 	heap       timers
 
 	events  []event
@@ -600,6 +602,7 @@
 		l.openWorker(c, ctx)
 	case *returned:
 		ctx.pool.conns++
+		l.conns++
 		ctx.pool.dialing++
 		l.dialing++
 		l.openWorker(c, ctx.pool)
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -4,6 +4,8 @@
 	"errors"
 	"strconv"
 
+	"golang.org/x/sys/unix"
+
 	"dunegrade/logic"
 	"dunegrade/pgwire"
 )
@@ -87,22 +89,28 @@
 			return 0
 		}
 		return l.now + 5*logic.Millisecond
-	case d.partAt > 0 || !d.from.Started():
-		until = cc.since + logic.Nanos(door.SlowHead)
-		if d.partAt > 0 {
-			until = d.partAt + logic.Nanos(door.SlowBody)
+	case cc.served == 0 && (d.partAt > 0 || !d.from.Started()):
+		if until = cc.opened + logic.Nanos(door.SlowHead); until <= l.now {
+			l.stats.refused++
+			d.end("08P01", "the first message came too slowly")
+			return 0
 		}
-		if until <= l.now {
+	case d.partAt > 0:
+		if until = d.partAt + logic.Nanos(door.SlowBody); until <= l.now {
 			l.stats.refused++
 			d.end("08P01", "the message came too slowly")
 			return 0
 		}
 	default:
-		if until = cc.since + logic.Nanos(door.Idle); until <= l.now || l.draining && l.now >= l.drainAt+linger {
+		patience := door.Idle
+		if l.p.open.Load() > int64(door.Connections/2) {
+			patience = door.Spare
+		}
+		if until = cc.since + logic.Nanos(patience); until <= l.now || l.draining && l.now >= l.drainAt+linger {
 			cc.close(false)
 			return 0
 		}
-		if l.draining {
+		if until = min(until, l.now+logic.Nanos(door.Spare)); l.draining {
 			until = l.drainAt + linger
 		}
 	}
@@ -126,7 +134,7 @@
 	if err == pgwire.ErrMore {
 		if d.partAt == 0 {
 			d.partAt = l.now
-			l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.SlowBody))
+			l.armClient(cc, min(l.now+logic.Nanos(l.p.plan.Door.SlowBody), max(l.now, cc.opened+logic.Nanos(l.p.plan.Door.SlowHead))))
 		}
 		return false
 	}
@@ -146,7 +154,7 @@
 		cc.used(size)
 		cc.put(pgwire.Welcome)
 		cc.since = l.now
-		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.Idle))
+		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.Spare))
 	case pgwire.Leave:
 		cc.used(size)
 		cc.close(false)
@@ -252,6 +260,14 @@
 
 func (k *pgBack) unsent() bool { return k.writing || !k.wc.closed && k.wc.c.OutboundBuffered() > 0 }
 
+// stale looks at the socket itself. Danger: a second copy of an answer that has arrived and was not read yet would pass
+// for the next one.
+func (k *pgBack) stale() bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(k.wc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err != unix.EAGAIN
+}
+
 func (k *pgBack) forget() {
 	if cap(k.from.Pass) > 8<<10 {
 		k.from.Pass = nil
--- a/edge/process.go
+++ b/edge/process.go
@@ -199,10 +199,12 @@
 			p.log.Info("accepts again", zap.Int("failed", failed))
 			failed = 0
 		}
-		if p.open.Load() >= int64(p.plan.Door.Connections) {
+		if over := p.open.Load() - int64(p.plan.Door.Connections); over >= int64(p.plan.Door.Shed) {
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 			continue
+		} else if over >= 0 {
+			p.loops[0].post(p.loops[0].shed)
 		}
 		best := p.loops[0]
 		for _, l := range p.loops[1:] {
--- a/edge/seam.go
+++ b/edge/seam.go
@@ -40,6 +40,9 @@
 	ends(err error) bool
 	// unsent tells whether a part of what was asked is still in this host.
 	unsent() bool
+	// stale tells whether an idle connection has come to something that was not read yet: its end, or bytes that
+	// nobody asked for.
+	stale() bool
 	// forget frees what large answers have left behind.
 	forget()
 }
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -11,7 +11,7 @@
 	clients, taken, settled, declined, voided, left uint64
 	refused, unrouted, atDoor, slowReaders          uint64
 	sent, dials, dialsFailed, garbage, unanswered   uint64
-	carried, bytesOut                               uint64
+	carried, bytesOut, shed, rested, stale          uint64
 	carrying                                        int64
 	endings                                         [16]uint64
 	replies                                         [6]uint64
@@ -21,7 +21,7 @@
 
 var endingNames = map[logic.Ending]string{logic.OK: "ok", logic.Cancelled: "cancelled", logic.TimedOut: "timed-out",
 	logic.Full: "full", logic.Moot: "moot", logic.Broken: "broken", logic.Erred: "erred",
-	logic.ConnectFailed: "connect-failed"}
+	logic.ConnectFailed: "connect-failed", logic.Spoilt: "spoilt"}
 
 // show copies the counts for whoever asks.
 func (l *loop) show() {
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -109,6 +109,7 @@
 		return // armed again when it is idle
 	}
 	if wc.since+l.workerIdle <= l.now {
+		l.stats.rested++
 		l.closeWorker(wc, false)
 		return
 	}
@@ -143,6 +144,7 @@
 	wc.closed, wc.call, wc.c = true, nil, nil
 	wc.gen2++
 	p.conns--
+	l.conns--
 	if wc.greets { // it never came up
 		wc.greets = false
 		p.dialing--
@@ -159,6 +161,7 @@
 	wc.says.forget()
 	l.backs.give(wc.at)
 	l.open(p)
+	l.feed()
 }
 
 // gone takes a connection that the worker has closed, or that broke.
@@ -205,7 +208,7 @@
 	l, c, n := wc.l, wc.call, wc.n
 	l.stats.garbage++
 	l.closeWorker(wc, true)
-	l.ended(c, n, logic.Erred, nil)
+	l.ended(c, n, logic.Spoilt, nil)
 }
 
 // complete takes a whole answer: how the submission ended, and what its client is to get where it is OK.
--- a/edge/worker_http.go
+++ b/edge/worker_http.go
@@ -44,6 +44,8 @@
 
 func (k *httpBack) unsent() bool { return false }
 
+func (k *httpBack) stale() bool { return false }
+
 func (k *httpBack) forget() {
 	if cap(k.buf) > keptBuffer {
 		k.buf = nil
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -475,14 +475,18 @@
 	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
 	sub.to.open--
 	s.held--
+	// Danger: what was called off, broke off or came spoilt may have been answered all the same, and the key counts.
+	if sub.rel == s.trial && sub.ran && o.Ending != Erred {
+		s.meet(t)
+	}
+	if o.Ending == Spoilt { // in all else an error
+		o.Ending = Erred
+	}
 	s.learn(t, sub, o)
 	s.weigh(sub.to)
 	if o.Over {
 		t.has = settled
 	}
-	if o.Ending == OK && sub.rel == s.trial {
-		s.meet(t)
-	}
 	if t.has == unanswered {
 		// Danger: workers that turn away all that comes would be asked by each txn in turn, and drown.
 		if now < t.Expiry && s.agains >= 1 && o.Ending != Cancelled &&
--- a/logic/types.go
+++ b/logic/types.go
@@ -80,6 +80,7 @@
 	Broken        // the connection broke
 	Erred         // answered with an error
 	ConnectFailed // no connection could be made
+	Spoilt        // answered with what cannot be read: it has run
 )
 
 // Load is a worker's load report; a value that it lacks is negative.
--- a/trace/follow.go
+++ b/trace/follow.go
@@ -134,7 +134,8 @@
 }
 
 var endingTexts = map[logic.Ending]string{logic.OK: "ok", logic.Cancelled: "called off", logic.TimedOut: "timed out", logic.Full: "turned away unseen",
-	logic.Moot: "not sent", logic.Broken: "connection broke", logic.Erred: "error", logic.ConnectFailed: "no connection"}
+	logic.Moot: "not sent", logic.Broken: "connection broke", logic.Erred: "error", logic.ConnectFailed: "no connection",
+	logic.Spoilt: "spoilt"}
 
 // Follow finds the stories of the txns that fit, looking only into blocks that may hold them. Damage is passed
 // over and named to hurt.
