Giving up ends the edge's sending first, and hears the answer that crosses it

So the host hears what crosses instead: it shuts its side, reads on for 20 ms, 2 ms before an expiry, and tells the module of an answer that came.

--- a/edge/call.go
+++ b/edge/call.go
@@ -12,10 +12,11 @@
 type subState uint8
 
 const (
-	subOver    subState = iota
-	subWaiting          // for a connection: nothing was sent
-	subSent             // it may run
-	subCarried          // its answer streams, a carrier has it
+	subOver     subState = iota
+	subWaiting           // for a connection: nothing was sent
+	subSent              // it may run
+	subStopping          // we have ended our sending; what crosses that is heard yet
+	subCarried           // its answer streams, a carrier has it
 )
 
 type sub struct {
@@ -307,8 +308,39 @@
 	case subSent:
 		if s.conn.says.unsent() { // what never left this host whole cannot have run
 			e = logic.ConnectFailed
+		} else if e == logic.Cancelled && s.conn.says.halfClose() {
+			l.giveUp(s)
+			return
 		}
 		l.closeWorker(s.conn, true)
 		l.ended(c, n, e, nil)
+	case subStopping:
+		if e == logic.TimedOut {
+			l.closeWorker(s.conn, true)
+			l.ended(c, n, e, nil)
+		}
 	}
 }
+
+// crossing is how long an answer that crosses our giving up is waited for.
+const crossing = 20 * logic.Millisecond
+
+// giveUp ends our sending on a submission's connection. Danger: an answer that crosses this has been given, and the module
+// must hear of it: the key counts as answered by its build.
+func (l *loop) giveUp(s *sub) {
+	s.state = subStopping
+	s.conn.stops = l.now
+	l.armWorker(s.conn, l.now+crossing)
+}
+
+// lastCall gives up what is out of a call so shortly before its expiry that what crosses is still heard.
+func (l *loop) lastCall(c *call) {
+	for n := 0; n < c.n; n++ {
+		if s := &c.subs[n]; s.state == subSent && !s.conn.says.unsent() && s.conn.says.halfClose() {
+			l.giveUp(s)
+		}
+	}
+}
+
+// early is how long before a call's expiry that is.
+const early = 2 * logic.Millisecond
--- a/edge/client.go
+++ b/edge/client.go
@@ -234,6 +234,9 @@
 	if c.in.Expiry <= l.now { // the body took all the time there was
 		c.in.Expiry = l.now + 1
 	}
+	if at := c.in.Expiry - early; at > l.now && l.p.live != nil {
+		l.heap.push(timer{at: at, token: uint64(c.id()), kind: last})
+	}
 	l.heap.push(timer{at: c.in.Expiry, token: uint64(c.id()), kind: expiry})
 	l.queue(event{kind: evTake, call: c})
 }
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -356,9 +356,9 @@
 // stale tells whether what a timer was set for has ended.
 func (l *loop) stale(t timer) bool {
 	switch t.kind {
-	case expiry, subEnd, connWait:
+	case expiry, last, subEnd, connWait:
 		c := l.callOf(logic.TxnID(t.token))
-		return c == nil || t.kind != expiry && c.subs[t.n].state == subOver
+		return c == nil || t.kind != expiry && t.kind != last && c.subs[t.n].state == subOver
 	case remind: // about a txn that is over: the module has nothing to do
 		return t.of != 0 && l.callOf(t.of) == nil
 	}
@@ -377,6 +377,8 @@
 		l.queue(event{kind: evTimer, token: t.token})
 	case expiry:
 		l.expired(l.callOf(logic.TxnID(t.token)))
+	case last:
+		l.lastCall(l.callOf(logic.TxnID(t.token)))
 	case subEnd:
 		l.stop(l.callOf(logic.TxnID(t.token)), int(t.n), logic.TimedOut)
 	case connWait:
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -268,6 +268,11 @@
 	return err != unix.EAGAIN
 }
 
+func (k *pgBack) halfClose() bool {
+	unix.Shutdown(k.wc.c.Fd(), unix.SHUT_WR) // a connection that is gone tells so by itself
+	return true
+}
+
 func (k *pgBack) forget() {
 	if cap(k.from.Pass) > 8<<10 {
 		k.from.Pass = nil
--- a/edge/timers.go
+++ b/edge/timers.go
@@ -8,6 +8,7 @@
 const (
 	remind   timerKind = iota // the module's, by its token
 	expiry                    // a call's patience is over
+	last                      // shortly before that
 	subEnd                    // a submission's time-out
 	connWait                  // a submission waits for a connection
 	clientAt                  // something about a client's connection is to be looked at
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -26,6 +26,7 @@
 	load   logic.Load
 	loaded bool
 	greets bool        // it stands, and cannot be asked yet
+	stops  logic.Nanos // when we ended our sending; 0: we did not
 	since  logic.Nanos // when it became idle
 	armed  logic.Nanos
 }
@@ -106,7 +107,17 @@
 		return
 	}
 	if wc.call != nil {
-		return // armed again when it is idle
+		if wc.stops == 0 {
+			return // armed again when it is idle
+		}
+		if wc.stops+crossing > l.now {
+			l.armWorker(wc, wc.stops+crossing)
+			return
+		}
+		c, n := wc.call, wc.n
+		l.closeWorker(wc, true)
+		l.ended(c, n, logic.Cancelled, nil)
+		return
 	}
 	if wc.since+l.workerIdle <= l.now {
 		l.stats.rested++
@@ -179,6 +190,9 @@
 	if c != nil && wc.says.unsent() {
 		e = logic.ConnectFailed
 	}
+	if wc.stops > 0 {
+		e = logic.Cancelled
+	}
 	wc.release()
 	if c != nil {
 		l.ended(c, n, e, nil)
@@ -214,6 +228,11 @@
 // complete takes a whole answer: how the submission ended, and what its client is to get where it is OK.
 func (l *loop) complete(wc *workerConn, e logic.Ending, out []byte, shut bool) {
 	c, n := wc.call, wc.n
+	if wc.stops > 0 { // the connection has had its last
+		if shut = true; e != logic.OK {
+			e = logic.Cancelled
+		}
+	}
 	if e == logic.OK && !c.answered && !c.left {
 		l.stats.settled++
 		cc := c.client
--- a/edge/worker_http.go
+++ b/edge/worker_http.go
@@ -46,6 +46,8 @@
 
 func (k *httpBack) stale() bool { return false }
 
+func (k *httpBack) halfClose() bool { return false }
+
 func (k *httpBack) forget() {
 	if cap(k.buf) > keptBuffer {
 		k.buf = nil
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -475,8 +475,8 @@
 	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
 	sub.to.open--
 	s.held--
-	// Danger: what was called off, broke off or came spoilt may have been answered all the same, and the key counts.
-	if sub.rel == s.trial && sub.ran && o.Ending != Erred {
+	// Danger: what broke off or came spoilt was answered all the same, as far as the key goes.
+	if sub.rel == s.trial && (o.Ending == OK || o.Ending == Broken || o.Ending == Spoilt) {
 		s.meet(t)
 	}
 	if o.Ending == Spoilt { // in all else an error
