--- a/logic/logic.go
+++ b/logic/logic.go
@@ -479,9 +479,6 @@
 	if sub.rel == s.trial && (o.Ending == OK || o.Ending == Broken || o.Ending == Spoilt) {
 		s.meet(t)
 	}
-	if o.Ending == Spoilt { // in all else an error
-		o.Ending = Erred
-	}
 	s.learn(t, sub, o)
 	s.weigh(sub.to)
 	if o.Over {
@@ -526,7 +523,7 @@
 func (s *Sentry) learn(t *txn, sub *submission, o Outcome) {
 	w, p := sub.to, &s.products[t.Product]
 	times := float64(o.Elapsed) / max(s.expected(t), 1)
-	if o.Ending == OK || o.Ending == Full || o.Ending == Erred {
+	if o.Ending == OK || o.Ending == Full || o.Ending == Erred || o.Ending == Spoilt {
 		w.heard, w.silent = s.now, false
 	}
 	switch o.Ending {
@@ -547,7 +544,7 @@
 		}
 	case Full:
 		s.widen(w, 0.8)
-	case Erred:
+	case Erred, Spoilt:
 		w.bad += 0.15 * (1 - w.bad) * bit(!s.follows(t, o.Ending, 0, 0))
 	case Broken, ConnectFailed:
 		w.bad += 0.4 * (1 - w.bad)
@@ -589,6 +586,10 @@
 		w.fails += bit(o.Ending == Erred && s.now-w.failedAt >= ownBurst)
 		w.failedAt = max(w.failedAt, s.now*Nanos(bit(o.Ending == Erred)))
 	}
+	// Danger: answers that come spoilt from all alike would hide an erring build, or pass for one. So: in pairs only.
+	if o.Ending == Spoilt && len(s.bases) == 0 {
+		return
+	}
 	if sub.rel == s.trial && len(s.bases) == 0 && sub.tells {
 		s.own.pairs++
 		if o.Ending == Erred {
