--- a/logic/logic.go
+++ b/logic/logic.go
@@ -586,7 +586,7 @@
 		w.fails += bit(o.Ending == Erred && s.now-w.failedAt >= ownBurst)
 		w.failedAt = max(w.failedAt, s.now*Nanos(bit(o.Ending == Erred)))
 	}
-	// Danger: answers that come spoilt from all alike would hide an erring build, or pass for one. So: in pairs only.
+	// Danger: answers that come spoilt from all alike would hide an erring build, or pass for one.
 	if o.Ending == Spoilt && len(s.bases) == 0 {
 		return
 	}
