Values up to a part of memory pass; an answer that had begun counts as answered

A row is taken in parts now, up to memory/64 and 1 MiB, and what is cut after its first byte ends as spoilt.

--- a/edge/call.go
+++ b/edge/call.go
@@ -312,16 +312,24 @@
 			l.giveUp(s)
 			return
 		}
-		l.closeWorker(s.conn, true)
-		l.ended(c, n, e, nil)
+		l.cut(s.conn, e)
 	case subStopping:
 		if e == logic.TimedOut {
-			l.closeWorker(s.conn, true)
-			l.ended(c, n, e, nil)
+			l.cut(s.conn, e)
 		}
 	}
 }
 
+// cut ends a submission with its connection. Danger: one whose answer had begun has run, and counts as answered.
+func (l *loop) cut(wc *workerConn, e logic.Ending) {
+	c, n := wc.call, wc.n
+	if (e == logic.TimedOut || e == logic.Cancelled) && wc.says.began() {
+		e = logic.Spoilt
+	}
+	l.closeWorker(wc, true)
+	l.ended(c, n, e, nil)
+}
+
 // crossing is how long an answer that crosses our giving up is waited for.
 const crossing = 20 * logic.Millisecond
 
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -60,7 +60,7 @@
 		k = &pgBack{}
 	}
 	k.wc, k.s, k.writing = wc, s, false
-	k.from.Reset(s.gauge)
+	k.from.Reset(s.gauge, int(wc.l.p.plan.Door.Answer))
 	return k
 }
 
@@ -263,11 +263,25 @@
 // stale looks at the socket itself. Danger: a second copy of an answer that has arrived and was not read yet would pass
 // for the next one.
 func (k *pgBack) stale() bool {
-	var b [1]byte
-	_, _, err := unix.Recvfrom(k.wc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := k.peek()
 	return err != unix.EAGAIN
 }
 
+func (k *pgBack) peek() (n int, err error) {
+	var b [1]byte
+	n, _, err = unix.Recvfrom(k.wc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
+// began tells whether a part of an answer has come, be it unread.
+func (k *pgBack) began() bool {
+	if k.from.Began() || k.wc.c.InboundBuffered() > 0 {
+		return true
+	}
+	n, err := k.peek()
+	return err == nil && n > 0
+}
+
 func (k *pgBack) halfClose() bool {
 	unix.Shutdown(k.wc.c.Fd(), unix.SHUT_WR) // a connection that is gone tells so by itself
 	return true
--- a/edge/seam.go
+++ b/edge/seam.go
@@ -43,6 +43,8 @@
 	// stale tells whether an idle connection has come to something that was not read yet: its end, or bytes that
 	// nobody asked for.
 	stale() bool
+	// began tells whether a part of an answer has come, where the protocol cares.
+	began() bool
 	// halfClose ends our sending and leaves what comes readable; it tells whether the protocol knows that.
 	halfClose() bool
 	// forget frees what large answers have left behind.
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -114,9 +114,7 @@
 			l.armWorker(wc, wc.stops+crossing)
 			return
 		}
-		c, n := wc.call, wc.n
-		l.closeWorker(wc, true)
-		l.ended(c, n, logic.Cancelled, nil)
+		l.cut(wc, logic.Cancelled)
 		return
 	}
 	if wc.since+l.workerIdle <= l.now {
@@ -193,6 +191,9 @@
 	if wc.stops > 0 {
 		e = logic.Cancelled
 	}
+	if c != nil && e != logic.ConnectFailed && wc.says.began() {
+		e = logic.Spoilt
+	}
 	wc.release()
 	if c != nil {
 		l.ended(c, n, e, nil)
--- a/edge/worker_http.go
+++ b/edge/worker_http.go
@@ -46,6 +46,7 @@
 
 func (k *httpBack) stale() bool { return false }
 
+func (k *httpBack) began() bool     { return false }
 func (k *httpBack) halfClose() bool { return false }
 
 func (k *httpBack) forget() {
--- a/pgwire/back.go
+++ b/pgwire/back.go
@@ -45,6 +45,7 @@
 	quiet                     // nothing was asked
 	wantDescription
 	wantRow
+	wantRest // of a long row
 	wantComplete
 	wantReady
 	afterError // the error's ReadyForQuery
@@ -57,6 +58,8 @@
 	Code   string // of the last error
 	Load   []byte // what the parameter of that name said in this answer; nil: nothing
 	gauge  string
+	most   int // bytes of a value
+	left   int // of a long row
 	fatal  bool
 	load   []byte
 	row    pgproto3.RowDescription
@@ -66,9 +69,11 @@
 	fault  pgproto3.ErrorResponse
 }
 
-// Reset begins a new connection; gauge names the parameter that holds load reports, empty: none does.
-func (b *Back) Reset(gauge string) {
+// Reset begins a new connection; gauge names the parameter that holds load reports, empty: none does; no value may be
+// longer than most bytes.
+func (b *Back) Reset(gauge string, most int) {
 	b.stage, b.Pass, b.Code, b.Load, b.gauge, b.fatal = greeting, b.Pass[:0], "", nil, gauge, false
+	b.most, b.left = most, 0
 	if cap(b.Pass) > 8<<10 { // one long value must not pin its memory for good
 		b.Pass = nil
 	}
@@ -83,6 +88,9 @@
 	return true
 }
 
+// Began tells whether a part of an answer has come, but for what may still be unread.
+func (b *Back) Began() bool { return b.stage > wantDescription && b.stage != afterError }
+
 // Idle tells whether nothing is owed on the connection.
 func (b *Back) Idle() bool { return b.stage == quiet }
 
@@ -92,6 +100,12 @@
 // Next takes the message that in begins with: how many bytes it has, and what it told. The error is ErrMore or a *Fault;
 // after a fault the connection cannot be used any further, and what was asked may have run.
 func (b *Back) Next(in []byte) (size int, told Told, err error) {
+	switch {
+	case b.stage == wantRest:
+		return b.rest(in)
+	case b.stage == wantRow && len(in) >= rowHead && in[0] == 'D' && binary.BigEndian.Uint32(in[1:]) >= longRow:
+		return b.long(in)
+	}
 	kind, body, size, err := frame(in, b.bounds)
 	if err != nil {
 		return 0, Nothing, err
@@ -142,7 +156,7 @@
 		b.Pass, b.stage = append(b.Pass, in[:size]...), wantRow
 	case wantRow: // 'D'
 		if b.data.Decode(body) != nil || len(b.data.Values) != 1 || b.data.Values[0] == nil ||
-			len(b.data.Values[0]) != len(body)-6 || len(b.data.Values[0]) > LongestValue {
+			len(b.data.Values[0]) != len(body)-6 {
 			return 0, Nothing, violation("a row is not of one value")
 		}
 		b.data.Values[0] = nil
@@ -156,6 +170,32 @@
 	return size, Nothing, nil
 }
 
+// rowHead is what a row of one value has before the value.
+const rowHead = 5 + 2 + 4
+
+// long begins a row that is taken in parts: all that can be wrong with it stands in its head.
+// Danger: kept whole till its end has come, a long answer would lie in memory twice.
+func (b *Back) long(in []byte) (size int, told Told, err error) {
+	n, value := binary.BigEndian.Uint32(in[1:]), binary.BigEndian.Uint32(in[7:])
+	if int64(value) > int64(b.most) || n != value+rowHead-1 || binary.BigEndian.Uint16(in[5:]) != 1 {
+		return 0, Nothing, violation("a row is not of one value that may be so long: %d bytes", value)
+	}
+	b.left, b.stage = int(value)+rowHead, wantRest
+	return b.rest(in)
+}
+
+func (b *Back) rest(in []byte) (size int, told Told, err error) {
+	if len(in) == 0 {
+		return 0, Nothing, ErrMore
+	}
+	size = min(b.left, len(in))
+	b.Pass = append(b.Pass, in[:size]...)
+	if b.left -= size; b.left == 0 {
+		b.stage = wantComplete
+	}
+	return size, Nothing, nil
+}
+
 // soleField tells whether a description says one column and holds just that; pgproto3 lets bytes after it pass.
 func soleField(body []byte) bool {
 	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
@@ -197,7 +237,7 @@
 	case wantDescription:
 		want = 'T'
 	case wantRow:
-		want, bound = 'D', longestRow
+		want, bound = 'D', b.most+rowHead
 	case wantComplete:
 		want, bound = 'C', 64
 	}
--- a/pgwire/frame.go
+++ b/pgwire/frame.go
@@ -12,14 +12,14 @@
 // ErrMore says that the bytes so far are sound and end in the middle of a message.
 var ErrMore = errors.New("pgwire: more bytes are needed")
 
-// LongestValue is the most bytes that a value may have.
+// LongestValue is the most bytes that a client's value may have.
 const LongestValue = 64 << 10
 
 const (
 	longestStart   = 10_000                // as PostgreSQL itself has it
 	longestQuery   = 2*LongestValue + 4096 // a value in hex, and what stands around it
-	longestRow     = LongestValue + 64
-	longestControl = 8 << 10 // errors, notices, descriptions, parameters
+	longestControl = 8 << 10               // errors, notices, descriptions, parameters
+	longRow        = 16 << 10              // a row from that size on is taken in parts
 )
 
 // Fault is a message that breaks the protocol. Nothing after it can be trusted to be a message.
