Workers rest above what is usual of all; connections that die when reused are reused for less

Seen on wide+reset+stale: one submission in ten reset at all workers alike, each reset put its worker to rest for a second, 60 in 100 txns refused; and half of the connections idle for over 200 ms died at their next use. The bar to rest is now raised by how bad workers are on the whole; the edge learns how long an idle connection is good for.

--- a/edge/call.go
+++ b/edge/call.go
@@ -162,13 +162,16 @@
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- { // the one used last, as the others may be closing
 		wc := p.idle[i]
+		if l.now-wc.since > l.reuse {
+			l.closeWorker(wc, false)
+			continue
+		}
 		if l.now-wc.since < logic.Nanos(l.p.plan.Workers.Rest) {
 			continue // Danger: what a worker sends behind an answer would pass for the next one
 		}
 		if wc.says.stale() {
 			l.stats.stale++
 			l.closeWorker(wc, true)
-			i = min(i, len(p.idle))
 			continue
 		}
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -284,7 +287,7 @@
 	s := &c.subs[n]
 	s.state, s.conn = subSent, wc
 	wc.call, wc.gen, wc.n = c, c.gen, n
-	wc.loaded = false
+	wc.loaded, wc.idled = false, l.now-wc.since
 	wc.used++
 	l.stats.sent++
 	if err := wc.says.ask(c, n); err != nil && !wc.closed {
@@ -293,6 +296,32 @@
 	}
 }
 
+// Reuse of idle connections: how soon a reset speaks against the connection and not the worker, the least time, and
+// by how much that shrinks and grows again.
+const (
+	atOnce                 = 3 * logic.Millisecond
+	leastReuse             = 20 * logic.Millisecond
+	reuseShrink, reuseGrow = 0.75, 1.03
+)
+
+// died notes that a connection was reset at once when it was used again. Danger: what stands between may drop idle
+// connections without a sign, sooner than is told; then each that is used again costs a submission that may have run.
+func (l *loop) died(wc *workerConn, elapsed logic.Nanos) {
+	if wc.used < 2 || elapsed > atOnce || wc.idled < leastReuse {
+		return
+	}
+	if to := max(leastReuse, logic.Nanos(float64(wc.idled)*reuseShrink)); to < l.reuse {
+		l.reuse = to
+	}
+}
+
+// lived notes that a connection served that had been idle for about as long as is allowed by now.
+func (l *loop) lived(wc *workerConn) {
+	if wc.used > 1 && float64(wc.idled) > reuseShrink*float64(l.reuse) {
+		l.reuse = min(l.workerIdle, logic.Nanos(float64(l.reuse)*reuseGrow))
+	}
+}
+
 // stop ends a submission from our side.
 func (l *loop) stop(c *call, n int, e logic.Ending) {
 	s := &c.subs[n]
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -25,6 +25,7 @@
 	says   backSpeech
 	load   logic.Load
 	loaded bool
+	idled  logic.Nanos // before its last use
 	greets bool        // it stands, and cannot be asked yet
 	stops  logic.Nanos // when we ended our sending; 0: we did not
 	since  logic.Nanos // when it became idle
@@ -194,6 +195,9 @@
 	if c != nil && e != logic.ConnectFailed && wc.says.began() {
 		e = logic.Spoilt
 	}
+	if c != nil {
+		l.died(wc, l.now-c.subs[n].since)
+	}
 	wc.release()
 	if c != nil {
 		l.ended(c, n, e, nil)
@@ -234,6 +238,7 @@
 			e = logic.Cancelled
 		}
 	}
+	l.lived(wc)
 	if e == logic.OK && !c.answered && !c.left {
 		l.stats.settled++
 		cc := c.client
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,7 +102,9 @@
 	s.emit()
 }
 
-func (s *Sentry) fit(w *worker) bool { return !w.silent && w.bad < restAbove }
+// fit tells whether w may be used freely. Danger: where submissions fail at all workers alike, to rest each would
+// leave nobody; so the bar lies above what is usual.
+func (s *Sentry) fit(w *worker) bool { return !w.silent && w.bad < restAbove+s.usualBad }
 
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
 func (s *Sentry) arrange() {
@@ -118,7 +120,7 @@
 		}
 		up, newest = up+1, newest+bit(w.Rel == s.trial)
 		// A slowed fleet looks silent at times; what is unheard of for long is lost.
-		if w.bad < restAbove && (!w.silent || s.now-w.heard < 2*Second) {
+		if w.bad < restAbove+s.usualBad && (!w.silent || s.now-w.heard < 2*Second) {
 			able += s.ramp(w)
 		}
 		all += s.ramp(w)
@@ -672,15 +674,18 @@
 			}
 		}
 	}
+	up, bad := 0.0, 0.0
 	s.allowed, s.squeeze = 0, s.squeeze+forget*(1-s.squeeze)
 	for _, w := range s.order {
 		if w.State == Up && s.fit(w) {
 			s.allowed += w.limit * s.squeeze * s.ramp(w)
 		}
+		up, bad = up+bit(w.State == Up), bad+min(w.bad, restAbove)*bit(w.State == Up)
 		// What a worker showed is forgotten slowly, or one bad moment would keep an idle fleet away for good.
 		w.bad *= 1 - forget
 		w.slow += forget * (w.place.slow - w.slow)
 	}
+	s.usualBad = bad / max(1, up)
 	s.forgetGone(remembered)
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
 	s.seldom = (1 - s.part) * s.fleet / max(s.carried, 0.1) // seconds between meetings, of many sentries
