--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,8 +102,8 @@
 	s.emit()
 }
 
-// fit tells whether w may be used freely. Danger: where submissions fail at all workers alike, to rest each would
-// leave nobody; so the bar lies above what is usual.
+// fit tells whether w may be used freely. Danger: where submissions fail at all workers alike, to rest each
+// would leave nobody; so the bar lies above what is usual.
 func (s *Sentry) fit(w *worker) bool { return !w.silent && w.bad < restAbove+s.usualBad }
 
 // arrange sorts the workers into trial, baseline and rest, and sets what the pair is to get (step 1).
@@ -540,8 +540,8 @@
 		w.slow += 0.15 * (min(times, 20) - w.slow)
 		w.place.slow += 0.03 * (min(times, 20) - w.place.slow)
 		unit := float64(o.Elapsed) / float64(max(t.Cost, 1))
-		// While a build is on trial the typical time stands still, or it would hide what the build does to all.
-		if p.learnt++; p.learnt < 100 || s.news.Phase == Released || len(s.trials) == 0 {
+		// While a build is watched the typical time stands still, or it would hide what the build does to all.
+		if p.learnt++; p.learnt < 100 || !s.watching {
 			p.typical += max(0.01, 1/float64(p.learnt)) * (unit - p.typical)
 		}
 	case Full:
@@ -853,8 +853,9 @@
 		s.watched = s.trial
 	}
 	fresh := s.news.Phase == Released && s.watched == s.trial && s.news.Age+s.now-s.newsAt < afterwards
+	s.watching = onTrial || fresh
 	// Danger: a level that starts at nothing is long untrue where txns are few, and hides any drag till then.
-	if !onTrial && !fresh || s.levels < firstLevels {
+	if !s.watching || s.levels < firstLevels {
 		s.calms++
 		s.calmLevel += max(0.01, 1/s.calms) * (s.level - s.calmLevel)
 		s.calmFresh += max(0.01, 1/s.calms) * (s.fresh - s.calmFresh)
@@ -871,7 +872,7 @@
 	// Danger: what would take longer than its SLA time is declined, so where that is short no level ever gets
 	// to a bar that rises with the sentries.
 	bar := max(dragged, min(dragged*(1+0.4*s.many), shown*(s.reach-s.calmLevel)))
-	if s.drag < bar || s.rises < 1 || !onTrial && !fresh {
+	if s.drag < bar || s.rises < 1 || !s.watching {
 		s.draggedAt = s.now
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -180,6 +180,7 @@
 	warmLevel, stageLevel float64      // the level when last no worker was cold; at the stage's start
 	blame                 [256]float64 // shares of errors by customer and by key
 	usualErr              float64      // share of errors of earlier builds
+	watching              bool         // a build is on trial, or was released a short while ago
 	usualBad              float64      // how bad workers are on the whole, each up to the bar at which it rests
 	skew                  spread       // as the trial's times, of the baseline
 	unsteady              float64      // variance of the log of times of earlier builds
