--- a/edge/call.go
+++ b/edge/call.go
@@ -109,12 +109,15 @@
 	if s.state == subOver {
 		return
 	}
+	// Danger: a link that is slow, or falls silent, may hold an answer that was given.
+	given := l.p.live != nil && s.state >= subSent &&
+		(e == logic.Cancelled || e == logic.TimedOut || e == logic.Broken || e == logic.Spoilt)
 	s.state = subOver
 	s.conn = nil
 	c.out--
 	c.last = e
 	ev := event{kind: evOutcome, call: c, outcome: logic.Outcome{Txn: c.id(), Number: n, Ending: e,
-		Elapsed: l.now - s.since, Over: c.answered || c.left}}
+		Elapsed: l.now - s.since, Over: c.answered || c.left, Given: given}}
 	if load != nil {
 		ev.load, ev.loaded = *load, true
 	}
@@ -399,4 +402,4 @@
 }
 
 // early is how long before a call's expiry that is.
-const early = 2 * logic.Millisecond
+const early = 5 * logic.Millisecond
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -32,6 +32,7 @@
 	evOutcome
 	evLeft
 	evStreaming
+	evBegun
 	evTimer
 	evCall // anything rare, as a function
 )
@@ -480,6 +481,8 @@
 			l.rec.Event(l.now, tracepb.Kind_STREAMING, c.id(), e.outcome.Number, 0, 0)
 		}
 		l.sentry.Streaming(l.now, c.id(), e.outcome.Number)
+	case evBegun: // not recorded: no protocol that is has it
+		l.sentry.Begun(l.now, c.id(), e.outcome.Number)
 	case evTimer:
 		if l.rec != nil {
 			l.rec.Event(l.now, tracepb.Kind_TIMER, 0, 0, e.token, 0)
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -236,7 +236,7 @@
 	s       *pgSpeech
 	from    pgwire.Back
 	writing bool
-	out     []byte
+	begun   bool // the module has heard that an answer began
 }
 
 func (k *pgBack) opened() { k.wc.c.Write(k.s.hello) }
@@ -245,7 +245,7 @@
 func (k *pgBack) ask(c *call, n int) error {
 	wc := k.wc
 	l := wc.l
-	k.writing = true
+	k.writing, k.begun = true, false
 	if !k.from.Ask() {
 		return errors.New("the connection is not idle")
 	}
@@ -305,10 +305,12 @@
 	wc := k.wc
 	l := wc.l
 	if len(in) == 0 {
+		k.waits()
 		return false
 	}
 	size, told, err := k.from.Next(in)
 	if err == pgwire.ErrMore {
+		k.waits()
 		return false
 	}
 	if err != nil {
@@ -341,6 +343,14 @@
 	return true
 }
 
+// waits tells the module, once, of an answer that has begun and is not whole yet.
+func (k *pgBack) waits() {
+	if wc := k.wc; wc.call != nil && !k.begun && k.began() {
+		k.begun = true
+		wc.l.queue(event{kind: evBegun, call: wc.call, outcome: logic.Outcome{Number: wc.n}})
+	}
+}
+
 // refused completes a submission that was answered with an error.
 func (k *pgBack) refused(shut bool) {
 	k.load()
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -123,7 +123,8 @@
 
 // end ends a submission.
 func (r *rig) end(t TxnID, number int, e Ending, took Nanos) {
-	r.Outcome(r.clock, Outcome{Txn: t, Number: number, Ending: e, Elapsed: took, Over: e == OK})
+	r.Outcome(r.clock, Outcome{Txn: t, Number: number, Ending: e, Elapsed: took, Over: e == OK,
+		Given: e == Spoilt || e == Broken || e == Cancelled})
 }
 
 // to is the worker that the txn's last submission went to, or "".
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,9 +2,9 @@
 // workers are trusted, and how the sentry votes on a new build.
 //
 // How it is called: the host makes a Sentry with New and hands it each event by the method named for it
-// (List, Take, Outcome, Left, Timer, News, Tally, Contested, Streaming, Told), each with the clock. Those
-// set down what is wanted; emit, at the end of each, turns the difference to what is into actions on the
-// Sink. Ids, events and the Sink are in types.go. docs/design.md tells what follows the paper and why.
+// (List, Take, Begun, Outcome, Left, Timer, News, Tally, Contested, Streaming, Told), each with the clock.
+// Those set down what is wanted; emit, at the end of each, turns the difference to what is into actions on
+// the Sink. Ids, events and the Sink are in types.go. docs/design.md tells what follows the paper and why.
 package logic
 
 import (
@@ -477,8 +477,8 @@
 	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
 	sub.to.open--
 	s.held--
-	// Danger: what broke off or came spoilt was answered all the same, as far as the key goes.
-	if sub.rel == s.trial && (o.Ending == OK || o.Ending == Broken || o.Ending == Spoilt) {
+	// Danger: what broke off, came spoilt or was called off may have been answered; then the key counts.
+	if sub.rel == s.trial && (o.Ending == OK || o.Given) {
 		s.meet(t)
 	}
 	s.learn(t, sub, o)
@@ -500,6 +500,14 @@
 	s.emit()
 }
 
+// Begun takes that an answer has begun to arrive. Danger: a long one takes its time, its key counts by then.
+func (s *Sentry) Begun(now Nanos, id TxnID, number int) {
+	s.now = now
+	if at, held := s.byID[id]; held && number < s.slab[at].n && s.slab[at].subs[number].rel == s.trial {
+		s.meet(&s.slab[at])
+	}
+}
+
 // giveUp sets down a final answer unless something out may still settle the txn.
 func (s *Sentry) giveUp(at int32) {
 	t := &s.slab[at]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -841,7 +841,7 @@
 	for _, c := range []struct {
 		ending Ending
 		bound  bool
-	}{{OK, true}, {Spoilt, true}, {Broken, true}, {Erred, false}, {ConnectFailed, false}} {
+	}{{OK, true}, {Spoilt, true}, {Broken, true}, {Cancelled, true}, {Erred, false}, {ConnectFailed, false}} {
 		r := newRig(6, 2, 0.5, "release.one-way", true, "allow.submissions", 1.0)
 		met, below := map[KeyID]bool{}, 0
 		keys := func(i int) KeyID { return KeyID(i%40 + 1) }
--- a/logic/types.go
+++ b/logic/types.go
@@ -97,6 +97,7 @@
 	Ending  Ending
 	Elapsed Nanos
 	Over    bool // the txn has its final answer
+	Given   bool // where it did not end well: an answer may have been given that did not arrive
 	Load    *Load
 }
 
