--- a/logic/logic.go
+++ b/logic/logic.go
@@ -693,7 +693,7 @@
 		w.bad *= 1 - forget
 		w.slow += forget * (w.place.slow - w.slow)
 	}
-	s.usualBad = bad / max(1, up)
+	s.usualBad = s.part * bad / max(1, up) // of many, each sees too little of all
 	s.forgetGone(remembered)
 	// Danger: who meets a worker only now and then knows little of it, and would follow that with all its txns.
 	s.seldom = (1 - s.part) * s.fleet / max(s.carried, 0.1) // seconds between meetings, of many sentries
