A connection rests before it is handed on, also where submissions wait for it

Found on reading: offer gave a connection in the moment of its answer to whoever waited, without rest or a look at its socket, so that what a worker sends behind an answer could pass for the next one; and with few descriptors the bound on connections was no bound.

--- a/edge/call.go
+++ b/edge/call.go
@@ -170,6 +170,7 @@
 			continue
 		}
 		if l.now-wc.since < logic.Nanos(l.p.plan.Workers.Rest) {
+			l.armWorker(wc, wc.since+logic.Nanos(l.p.plan.Workers.Rest))
 			continue // Danger: what a worker sends behind an answer would pass for the next one
 		}
 		if wc.says.stale() {
@@ -265,14 +266,13 @@
 	}
 }
 
-// offer gives a free connection to the submission that has waited longest, or keeps it.
+// offer gives a free connection to the submission that has waited longest, or keeps it. One that has just answered
+// rests first, where workers are known to send more than belongs to an answer.
 func (l *loop) offer(wc *workerConn) {
 	p := wc.pool
-	for len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if w.valid() {
-			l.write(wc, w.call, w.n)
+	rest := logic.Nanos(l.p.plan.Workers.Rest)
+	if wc.used == 0 || rest == 0 {
+		if l.serveWaiting(wc) {
 			return
 		}
 	}
@@ -282,9 +282,28 @@
 	}
 	wc.since = l.now
 	p.idle = append(p.idle, wc)
+	if len(p.waiting) > 0 {
+		l.armWorker(wc, l.now+rest)
+		return
+	}
 	l.armWorker(wc, l.now+l.workerIdle)
 }
 
+// serveWaiting writes the submission that has waited longest for one of the pool's connections, and tells whether there
+// was one.
+func (l *loop) serveWaiting(wc *workerConn) bool {
+	p := wc.pool
+	for len(p.waiting) > 0 {
+		w := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if w.valid() {
+			l.write(wc, w.call, w.n)
+			return true
+		}
+	}
+	return false
+}
+
 // write puts a call's request on a connection.
 func (l *loop) write(wc *workerConn, c *call, n int) {
 	s := &c.subs[n]
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"unsafe"
 
 	"github.com/panjf2000/gnet/v2"
@@ -118,6 +119,22 @@
 		l.cut(wc, logic.Cancelled)
 		return
 	}
+	if rest := logic.Nanos(l.p.plan.Workers.Rest); l.now-wc.since < rest {
+		l.armWorker(wc, wc.since+rest)
+		return
+	}
+	if len(wc.pool.waiting) > 0 {
+		if wc.says.stale() {
+			l.stats.stale++
+			l.closeWorker(wc, true)
+			return
+		}
+		wc.pool.idle = slices.DeleteFunc(wc.pool.idle, func(x *workerConn) bool { return x == wc })
+		if l.serveWaiting(wc) {
+			return
+		}
+		wc.pool.idle = append(wc.pool.idle, wc)
+	}
 	if wc.since+l.workerIdle <= l.now {
 		l.stats.rested++
 		l.closeWorker(wc, false)
