--- a/logic/logic.go
+++ b/logic/logic.go
@@ -793,7 +793,8 @@
 	next := s.num("release.shares."+strconv.Itoa(s.news.Stage+1), 1)
 	enough := all.seen >= stakes*next*math.Exp(-s.many/2) || age > 2*s.span("release.bake", 0)+4*Second
 	level := backLevel * min(1, math.Sqrt(manyPairs/all.pairs))
-	drags := min(dragTime, s.span("release.bake", dragTime)) // where stages are short, it has to show sooner
+	// Where stages are short, it has to show sooner. Danger: so soon that any jam would pass for the build.
+	drags := max(dragTime/2, min(dragTime, s.span("release.bake", dragTime)))
 	failing := all.pairs >= pairFloor && (p < level && spread < spreadLevel || spread < level)
 	switch {
 	case failing, slow > slowBack+slowMany*s.many, fluke < backLevel/few*math.Exp(-s.many),
