The demo: an edge that is not ready is reported with its log's end

Seen: a test's folder is gone when somebody would look, so the path alone said nothing. The error now carries the last 600 bytes of the log.

--- a/lab/run.go
+++ b/lab/run.go
@@ -248,7 +248,8 @@
 		case <-t.C:
 		}
 	}
-	return fmt.Errorf("edge %d was not ready within %v; its log is %s", p.n, limit, p.log.Name())
+	text, _ := os.ReadFile(p.log.Name()) // a test's folder is gone when somebody would look
+	return fmt.Errorf("edge %d was not ready within %v; its log %s ends: %s", p.n, limit, p.log.Name(), text[max(0, len(text)-600):])
 }
 
 // endEdge kills an edge, or asks it to stop, and waits for its end.
