--- a/edge/process.go
+++ b/edge/process.go
@@ -125,6 +125,9 @@
 		}
 		p.loops = append(p.loops, l)
 	}
+	if p.tells != nil {
+		go p.hearPeers() // ended by the socket's close; what came before waits in the kernel
+	}
 	var err error
 	if p.listener, err = net.Listen("tcp", p.plan.Listen); err != nil {
 		p.stopLoops()
@@ -567,8 +570,7 @@
 
 const longestTell = 256
 
-// openPeers listens for other sentries' messages at this process's own addresses, one a loop; they share one
-// socket where the loops' addresses are the same.
+// openPeers opens the socket for other sentries' messages. hearPeers reads from it, once there are loops to hand them to.
 func (p *Process) openPeers() error {
 	if !p.plan.Module["allow.messages"].(bool) {
 		return nil // addresses may stand in the settings all the same
@@ -590,32 +592,35 @@
 	if p.tells, err = net.ListenUDP("udp", own); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
-	go func() { // ended by the socket's close
-		buf := make([]byte, 4+longestTell+1)
-		for {
-			n, from, err := p.tells.ReadFromUDPAddrPort(buf)
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if p.plan.PeerListen != "" { // bare: its sender's address says whose it is
-				if err == nil && n <= longestTell {
-					p.hearPeer(from, append([]byte(nil), buf[:n]...))
-				}
-				continue
-			}
-			if err != nil || n < 4 || n > 4+longestTell {
-				continue
+	return nil
+}
+
+// hearPeers reads other sentries' messages until the socket is closed. Danger: others send at any time, so it is started
+// only when every loop stands: after a restart under load a message came before, and there was no loop to hand it to.
+func (p *Process) hearPeers() {
+	buf := make([]byte, 4+longestTell+1)
+	for {
+		n, from, err := p.tells.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if p.plan.PeerListen != "" { // bare: its sender's address says whose it is
+			if err == nil && n <= longestTell {
+				p.hearPeer(from, append([]byte(nil), buf[:n]...))
 			}
-			sender, to := int(binary.BigEndian.Uint16(buf)), int(binary.BigEndian.Uint16(buf[2:]))
-			data := append([]byte(nil), buf[4:n]...)
-			for _, l := range p.loops {
-				if l.number == to {
-					l.post(func() { l.tellTold(sender, data) })
-				}
+			continue
+		}
+		if err != nil || n < 4 || n > 4+longestTell {
+			continue
+		}
+		sender, to := int(binary.BigEndian.Uint16(buf)), int(binary.BigEndian.Uint16(buf[2:]))
+		data := append([]byte(nil), buf[4:n]...)
+		for _, l := range p.loops {
+			if l.number == to {
+				l.post(func() { l.tellTold(sender, data) })
 			}
 		}
-	}()
-	return nil
+	}
 }
 
 // hearPeer passes on what another sentry sent; what comes from elsewhere is dropped.
