What waits for a connection ends with its client, its answer or its cap; drains lose nothing

The module calls nothing off there, and edge/call.go serveWaiting wrote whatever waited. Also: what the kernel has accepted when the listener closes is taken first; an idle connection with bytes on its socket is not closed.

--- a/config/edge.go
+++ b/config/edge.go
@@ -52,6 +52,7 @@
 	Idle, SlowHead, SlowBody    time.Duration
 	SlowReader                  time.Duration
 	Connections, Open, Pipeline int
+	Holding                     int // bytes that came from clients and were not used yet, of all; 0: no bound
 	// Shed is how many connections more are taken while idle ones are ended for them; Spare is how long one must have
 	// been idle to be ended once half of all are in use.
 	Shed    int
--- a/edge/call.go
+++ b/edge/call.go
@@ -143,7 +143,17 @@
 }
 
 func (w waiter) valid() bool {
-	return w.call.gen == w.gen && w.call.subs[w.n].state == subWaiting
+	return w.call.gen == w.gen && w.call.subs[w.n].state == subWaiting && !w.call.answered && !w.call.left
+}
+
+// endWaiting ends what waits for a connection for a call that is over. Danger: where nothing may be called off, the module
+// says nothing of it, and it would be sent for a client that has gone, or has its answer.
+func (l *loop) endWaiting(c *call) {
+	for n := 0; n < c.n; n++ {
+		if c.subs[n].state == subWaiting {
+			l.ended(c, n, logic.Moot, nil)
+		}
+	}
 }
 
 // send starts submission n of a call at a worker.
@@ -296,10 +306,14 @@
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
 		p.waiting = p.waiting[1:]
-		if w.valid() {
+		if !w.valid() {
+			continue
+		}
+		if l.sentry.Stands(l.now, w.call.id(), w.n) {
 			l.write(wc, w.call, w.n)
 			return true
 		}
+		l.ended(w.call, w.n, logic.Moot, nil)
 	}
 	return false
 }
--- a/edge/client.go
+++ b/edge/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"dunegrade/logic"
 )
@@ -36,6 +37,9 @@
 	served  uint64
 	unsent  int // bytes not sent when last looked at
 	unsentN logic.Nanos
+	holds   int         // bytes that came and were not used yet
+	parts   bool        // once all has left, our sending ends
+	partsAt logic.Nanos // since when it has; 0: it has not
 }
 
 func (l *loop) doorOf(token uint64) *clientConn {
@@ -87,6 +91,10 @@
 		until = l.now + logic.Nanos(d.Idle)
 	}
 	if out := cc.c.OutboundBuffered(); out > 0 || cc.state == onlyOut {
+		if out == 0 && cc.parts {
+			cc.part()
+			return
+		}
 		if out == 0 {
 			cc.close(false)
 			return
@@ -162,15 +170,76 @@
 			c.left = true
 			l.stats.left++
 			l.queue(event{kind: evLeft, call: c})
+			l.endWaiting(c)
 		} else {
 			l.drop(c)
 		}
 	}
-	cc.c, cc.early = nil, nil
+	l.holding -= cc.holds
+	cc.c, cc.early, cc.holds = nil, nil, 0
 	cc.gen++
 	l.doors.give(cc.at)
 }
 
+// parting is how long a connection whose answers have ended stays readable.
+const parting = 200 * logic.Millisecond
+
+// part ends our sending, and the connection once the client has ended its own, or after a while. Danger: what is closed
+// with bytes unread is reset, and a reset takes with it what the client has not received yet.
+func (cc *clientConn) part() {
+	l := cc.l
+	cc.state, cc.parts = onlyOut, true
+	switch {
+	case cc.c.OutboundBuffered() > 0:
+		l.armClient(cc, l.now+2*logic.Millisecond)
+	case cc.partsAt == 0:
+		cc.partsAt = l.now
+		unix.Shutdown(cc.c.Fd(), unix.SHUT_WR) // one that is gone tells so by itself
+		l.armClient(cc, l.now+parting)
+	case l.now < cc.partsAt+parting:
+		l.armClient(cc, cc.partsAt+parting)
+	default:
+		cc.close(false)
+	}
+}
+
+// unread tells whether bytes have come to the socket that were not read yet.
+func (cc *clientConn) unread() bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(cc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
+// account counts the bytes that are held for clients. Danger: each connection's are bounded, but those of many at once
+// would still fill memory; past the bound in sum the one that holds most gives its up.
+func (cc *clientConn) account() {
+	l := cc.l
+	if cc.closed {
+		return
+	}
+	n := len(cc.early) + cc.c.InboundBuffered()
+	l.holding += n - cc.holds
+	cc.holds = n
+	bound := l.p.plan.Door.Holding
+	for bound > 0 && l.holding > bound {
+		most := cc
+		for _, other := range l.doors.items {
+			if !other.closed && other.c != nil && other.holds > most.holds {
+				most = other
+			}
+		}
+		l.stats.overfull++
+		if most.call != nil && most.call.taken { // its answer is owed; what it sent behind that is not looked at
+			most.call.keep = false
+			most.used(len(most.input()))
+			l.holding -= most.holds
+			most.holds = 0
+		} else {
+			most.close(true)
+		}
+	}
+}
+
 // input gives the bytes in hand. used says how many of them were taken.
 func (cc *clientConn) input() []byte {
 	if len(cc.early) > 0 {
@@ -202,8 +271,14 @@
 	cc.c.Discard(n)
 }
 
-// read takes what has come in as far as it goes. It stops at a whole txn, since answers keep their order.
+// read takes what has come in, and counts what is left of it.
 func (cc *clientConn) read() {
+	cc.take()
+	cc.account()
+}
+
+// take takes what has come in as far as it goes. It stops at a whole txn, since answers keep their order.
+func (cc *clientConn) take() {
 	l := cc.l
 	for !cc.closed {
 		in := cc.input()
@@ -266,13 +341,18 @@
 // answered ends the txn in hand for its client; keep leaves the connection open for the next one.
 func (cc *clientConn) answered() {
 	l, c := cc.l, cc.call
-	keep := c.keep && !l.draining
+	// Danger: what has come in behind a txn before its answer is taken as well, also while this edge drains.
+	keep := c.keep && (!l.draining || len(cc.input()) > 0)
 	c.answered, c.client, cc.call = true, nil, nil
 	cc.served++
 	l.drop(c)
 	if cc.closed {
 		return
 	}
+	if !keep && l.draining && !cc.l.stopping {
+		cc.part()
+		return
+	}
 	if !keep {
 		cc.close(false)
 		return
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -588,3 +590,50 @@
 		}
 	}
 }
+
+// Danger: what each connection may hold, on very many of them, would still fill memory.
+func TestHeldBytesHaveABoundInSum(t *testing.T) {
+	const bound, clients = 512 << 10, 30
+	r := start(t, "", newStub(t, never))
+	l := r.p.loops[0]
+	done := make(chan struct{})
+	l.post(func() { r.p.plan.Door.Holding = bound; close(done) })
+	<-done
+	var conns []net.Conn
+	behind := []byte(strings.Repeat(get("/ask"), 1+(60<<10)/len(get("/ask"))))
+	for range clients {
+		c := r.dial()
+		io.WriteString(c, get("/ask"))
+		if _, err := c.Write(behind); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	for until := time.Now().Add(5 * time.Second); r.stats().overfull == 0; {
+		if time.Now().After(until) {
+			t.Fatal("no connection gave up what it held")
+		}
+	}
+	held := 0
+	done = make(chan struct{})
+	l.post(func() {
+		for _, cc := range l.doors.items {
+			if !cc.closed && cc.c != nil {
+				held += cc.c.InboundBuffered() + len(cc.early)
+			}
+		}
+		if held != l.holding {
+			t.Errorf("%d bytes are held, %d are counted", held, l.holding)
+		}
+		close(done)
+	})
+	<-done
+	if held > bound {
+		t.Errorf("%d bytes are held of %d", held, bound)
+	}
+	for i, c := range conns { // each still gets the answer that it is owed
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Errorf("client %d: %v", i, err)
+		}
+	}
+}
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -96,6 +96,7 @@
 	reuse      reuse
 	conns      int     // to workers, open or being opened
 	starved    []*pool // that wait for one of them to end
+	holding    int     // bytes that came from clients and were not used yet
 	heap       timers
 
 	events  []event
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -107,6 +107,9 @@
 			patience = door.Spare
 		}
 		if until = cc.since + logic.Nanos(patience); until <= l.now || l.draining && l.now >= l.drainAt+linger {
+			if cc.unread() { // a request arrived at this moment
+				return l.now + logic.Millisecond
+			}
 			cc.close(false)
 			return 0
 		}
--- a/edge/process.go
+++ b/edge/process.go
@@ -156,6 +156,11 @@
 	<-ctx.Done()
 	began := time.Now()
 	time.Sleep(p.plan.KeepOpen) // clients still come for as long
+	// Danger: connections that the kernel has accepted and we have not would be reset. So all that is there is taken first.
+	if l, ok := p.listener.(*net.TCPListener); ok {
+		l.SetDeadline(time.Now().Add(lastAccepts))
+		accepting.Wait()
+	}
 	p.listener.Close()
 	accepting.Wait()
 	held := p.drain()
@@ -182,13 +187,16 @@
 	}
 }
 
+// lastAccepts is how long the last connections that wait to be accepted are looked for.
+const lastAccepts = 20 * time.Millisecond
+
 // accept hands each new connection to the loop that has fewest.
 func (p *Process) accept() {
 	failed := 0 // in a row
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
 			// Out of descriptors, most likely: going on at once would spin, and a line for each would fill the disk.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -8,13 +8,13 @@
 
 // stats are a loop's plain counts. The loop writes them; others get a copy once a beat.
 type stats struct {
-	clients, taken, settled, declined, voided, left uint64
-	refused, unrouted, atDoor, slowReaders          uint64
-	sent, dials, dialsFailed, garbage, unanswered   uint64
-	carried, bytesOut, shed, rested, stale          uint64
-	carrying                                        int64
-	endings                                         [16]uint64
-	replies                                         [6]uint64
+	clients, taken, settled, declined, voided, left  uint64
+	refused, unrouted, atDoor, slowReaders           uint64
+	sent, dials, dialsFailed, garbage, unanswered    uint64
+	carried, bytesOut, shed, rested, stale, overfull uint64
+	carrying                                         int64
+	endings                                          [16]uint64
+	replies                                          [6]uint64
 	// As it is now.
 	open, inHand, toWorkers int64
 }
@@ -82,6 +82,7 @@
 		count(descRefused, s.unrouted, "no-route")
 		count(descRefused, s.atDoor, "open-limit")
 		count(descRefused, s.slowReaders, "slow-reader")
+		count(descRefused, s.overfull, "held-bytes")
 		count(descDials, s.dials-s.dialsFailed, "true")
 		count(descDials, s.dialsFailed, "false")
 		count(descGarbage, s.garbage)
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -276,6 +276,9 @@
 		wc.call = nil
 	}
 	l.ended(c, n, e, load)
+	if c.answered || c.left {
+		l.endWaiting(c)
+	}
 	if wc.closed {
 		return
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -212,6 +212,17 @@
 	})
 }
 
+// Stands tells whether a submission that the host could not send yet may still go. Danger: by the time that a
+// connection is up its worker may drain, or the cap have fallen: attempts are counted anew from then.
+func (s *Sentry) Stands(now Nanos, id TxnID, number int) bool {
+	at, held := s.byID[id]
+	if !held || number >= s.slab[at].n {
+		return false
+	}
+	sub := &s.slab[at].subs[number]
+	return sub.to.State == Up && now < s.slab[at].Expiry && (!s.onTrial(sub.rel) || sub.sent > s.loweredAt)
+}
+
 // refill lets budgets grow: for each lane, free attempts a window, which with the depth of the bucket add up
 // to the rule's figure in any window; for a cold worker, its even share of what it can do by now.
 func (s *Sentry) refill() {
@@ -730,6 +741,7 @@
 	s.news, s.newsAt = n, now
 	s.noticeTrial()
 	if s.capNow() < old { // counted anew from a lower cap on
+		s.loweredAt = now
 		for i := range s.exposure {
 			s.exposure[i] = min(s.exposure[i], 0)
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -160,13 +160,14 @@
 	squeeze, allowed    float64 // on all limits; what may be held in all
 	held                int
 
-	news     News
-	newsAt   Nanos
-	watched  RelID // the newest build seen on trial
-	trial    RelID // the newest build known
-	exposure []float64
-	refilled Nanos
-	metTrial map[KeyID]RelID // the newest build that has answered a key
+	news      News
+	newsAt    Nanos
+	loweredAt Nanos // when the cap last fell
+	watched   RelID // the newest build seen on trial
+	trial     RelID // the newest build known
+	exposure  []float64
+	refilled  Nanos
+	metTrial  map[KeyID]RelID // the newest build that has answered a key
 
 	own                   evidence
 	peers                 []evidence // by their number
