Requests behind others on a connection go on their way at once; answers keep their order

Ruled out: workers (6 errors, no time-outs in the window of the break), descriptors (81 of 576), memory.

At fault: edge/client.go take stopped at a whole txn until its answer had left, so that those behind it waited out their time, and their expiry counted from when they were read. Now up to seven are taken behind the one in hand; an answer that comes early waits for its turn.

--- a/edge/call.go
+++ b/edge/call.go
@@ -96,7 +96,9 @@
 		l.rec.Done(l.now, c.id())
 	}
 	if c.client != nil {
-		c.client.call = nil
+		if c.client.call == c {
+			c.client.call = nil
+		}
 		c.client = nil
 	}
 	c.gen++ // timers and late endings find nothing
--- a/edge/client.go
+++ b/edge/client.go
@@ -29,7 +29,9 @@
 	state   doorState
 	closed  bool
 	says    frontSpeech
-	call    *call // that is being read, or is in hand
+	call    *call   // that is being read, or is in hand: the one whose answer is next
+	behind  []queue // what was taken behind it, in order
+	last    bool    // nothing more is taken, and after the last answer the connection ends
 	early   []byte
 	opened  logic.Nanos
 	since   logic.Nanos // when this state began
@@ -42,6 +44,25 @@
 	partsAt logic.Nanos // since when it has; 0: it has not
 }
 
+// queue is a txn taken behind others of its connection. Its answer waits for its turn.
+type queue struct {
+	call   *call // nil once it is answered
+	answer []byte
+}
+
+// aheadMost is how many txns of one connection may be in hand behind the first.
+const aheadMost = 7
+
+// mayTakeAhead tells whether a txn may be taken behind one that is in hand. Danger: one by one, those behind a slow answer
+// would wait for longer than their clients do; without a bound, answers that wait for their turn would fill memory.
+func (cc *clientConn) mayTakeAhead() bool {
+	held := 0
+	for i := range cc.behind {
+		held += len(cc.behind[i].answer)
+	}
+	return !cc.closed && !cc.last && cc.call != nil && cc.call.taken && len(cc.behind) < aheadMost && int64(held) < cc.l.p.plan.Door.Unsent
+}
+
 func (l *loop) doorOf(token uint64) *clientConn {
 	at := int32(uint32(token))
 	if int(at) >= len(l.doors.items) {
@@ -55,8 +76,8 @@
 
 func (l *loop) openClient(c gnet.Conn, d *door) {
 	at, cc := l.doors.take()
-	was := cc.says
-	*cc = clientConn{l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
+	was, behind := cc.says, cc.behind[:0]
+	*cc = clientConn{behind: behind, l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
 	cc.says = l.p.speech.front(cc, was)
 	c.SetContext(cc)
 	l.stats.clients++
@@ -164,23 +185,37 @@
 	cc.closed = true
 	l.clients.Add(-1)
 	l.p.open.Add(-1)
-	if c := cc.call; c != nil {
-		cc.call, c.client = nil, nil
-		if c.taken && !c.answered {
-			c.left = true
-			l.stats.left++
-			l.queue(event{kind: evLeft, call: c})
-			l.endWaiting(c)
-		} else {
-			l.drop(c)
-		}
-	}
+	first := cc.call
+	cc.call = nil
+	cc.leaves(first)
+	for i := range cc.behind {
+		cc.leaves(cc.behind[i].call)
+		cc.behind[i] = queue{}
+	}
+	cc.behind = cc.behind[:0]
 	l.holding -= cc.holds
 	cc.c, cc.early, cc.holds = nil, nil, 0
 	cc.gen++
 	l.doors.give(cc.at)
 }
 
+// leaves books that a txn's client has gone.
+func (cc *clientConn) leaves(c *call) {
+	if c == nil {
+		return
+	}
+	l := cc.l
+	c.client = nil
+	if !c.taken || c.answered {
+		l.drop(c)
+		return
+	}
+	c.left = true
+	l.stats.left++
+	l.queue(event{kind: evLeft, call: c})
+	l.endWaiting(c)
+}
+
 // parting is how long a connection whose answers have ended stays readable.
 const parting = 200 * logic.Millisecond
 
@@ -230,7 +265,7 @@
 		}
 		l.stats.overfull++
 		if most.call != nil && most.call.taken { // its answer is owed; what it sent behind that is not looked at
-			most.call.keep = false
+			most.last, most.call.keep = true, false
 			most.used(len(most.input()))
 			l.holding -= most.holds
 			most.holds = 0
@@ -282,7 +317,7 @@
 	l := cc.l
 	for !cc.closed {
 		in := cc.input()
-		if cc.state == reading {
+		if cc.state == reading || cc.state == inHand && cc.says.ahead() && cc.mayTakeAhead() {
 			if len(in) == 0 || !cc.says.read(in) {
 				return
 			}
@@ -292,6 +327,7 @@
 		// memory. Past the limit its further requests are dropped, and the connection after its answer.
 		if len(in) > l.p.plan.Door.Pipeline || cc.state == onlyOut {
 			cc.used(len(in))
+			cc.last = true
 			if cc.call != nil {
 				cc.call.keep = false
 			}
@@ -301,9 +337,11 @@
 }
 
 // whole hands a txn that has come in whole to the module.
-func (cc *clientConn) whole() {
-	l, c := cc.l, cc.call
-	cc.state, cc.since = inHand, l.now
+func (cc *clientConn) whole(c *call) {
+	l := cc.l
+	if c == cc.call {
+		cc.state, cc.since = inHand, l.now
+	}
 	c.taken = true
 	l.stats.taken++
 	c.in.ID = c.id()
@@ -338,17 +376,63 @@
 	}
 }
 
-// answered ends the txn in hand for its client; keep leaves the connection open for the next one.
+// answer sends what c's client is to get, or keeps it for its turn.
+func (cc *clientConn) answer(c *call, b []byte) {
+	if c == cc.call {
+		cc.put(b)
+		return
+	}
+	for i := range cc.behind {
+		if cc.behind[i].call == c {
+			cc.behind[i].answer = append([]byte(nil), b...)
+		}
+	}
+}
+
+// finish ends a txn that has its answer, on a connection that is still open.
+func (cc *clientConn) finish(c *call) {
+	if c == cc.call {
+		cc.answered()
+		return
+	}
+	for i := range cc.behind {
+		if cc.behind[i].call == c {
+			cc.behind[i].call = nil
+			cc.last = cc.last || !c.keep
+			c.answered, c.client = true, nil
+			cc.l.drop(c)
+			return
+		}
+	}
+}
+
+// answered ends the txn in hand for its client, and sends the answers that waited for it.
 func (cc *clientConn) answered() {
 	l, c := cc.l, cc.call
-	// Danger: what has come in behind a txn before its answer is taken as well, also while this edge drains.
-	keep := c.keep && (!l.draining || len(cc.input()) > 0)
+	cc.last = cc.last || !c.keep
 	c.answered, c.client, cc.call = true, nil, nil
 	cc.served++
 	l.drop(c)
+	for len(cc.behind) > 0 && !cc.closed && cc.call == nil {
+		next := cc.behind[0]
+		n := copy(cc.behind, cc.behind[1:])
+		cc.behind[n] = queue{}
+		cc.behind = cc.behind[:n]
+		if cc.call = next.call; cc.call == nil {
+			cc.served++
+			cc.put(next.answer)
+		}
+	}
 	if cc.closed {
 		return
 	}
+	if cc.call != nil {
+		cc.since = l.now
+		l.resume = append(l.resume, cc)
+		return
+	}
+	// Danger: what has come in behind a txn before its answer is taken as well, also while this edge drains.
+	keep := !cc.last && (!l.draining || cc.says.ahead() && len(cc.input()) > 0)
 	if !keep && l.draining && !cc.l.stopping {
 		cc.part()
 		return
@@ -370,8 +454,8 @@
 	l.stats.declined++
 	cc := c.client
 	cc.says.declined(c, after)
-	if cc.call == c {
-		cc.answered()
+	if !cc.closed {
+		cc.finish(c)
 	}
 }
 
@@ -383,7 +467,7 @@
 	l.stats.voided++
 	cc := c.client
 	cc.says.voided(c)
-	if cc.call == c {
-		cc.answered()
+	if !cc.closed {
+		cc.finish(c)
 	}
 }
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -53,6 +53,7 @@
 	headAt  logic.Nanos // when the first byte of the head was seen; 0: none yet
 }
 
+func (d *httpFront) ahead() bool { return false }
 func (d *httpFront) fresh() bool { return d.part == readHead }
 func (d *httpFront) begin()      { d.part = readHead }
 
@@ -94,7 +95,7 @@
 		cc.call.request = append(cc.call.request, in[:n]...)
 		cc.used(n)
 		if d.left -= int64(n); d.left == 0 {
-			cc.whole()
+			cc.whole(cc.call)
 		}
 		return true
 	}
@@ -174,7 +175,7 @@
 		}
 		c.request = append(c.request, "\r\n"...)
 		c.bodyAt = len(c.request)
-		cc.whole()
+		cc.whole(cc.call)
 		return true
 	}
 	l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.SlowBody))
@@ -209,7 +210,7 @@
 			c.request[at-i] = byte('0' + size%10)
 			size /= 10
 		}
-		cc.whole()
+		cc.whole(cc.call)
 		return true
 	}
 	return err == nil && took > 0
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -439,7 +439,7 @@
 		}
 		l.events = l.events[:0]
 		for i := 0; i < len(l.resume); i++ {
-			if cc := l.resume[i]; !cc.closed && cc.call == nil {
+			if cc := l.resume[i]; !cc.closed {
 				cc.read()
 			}
 		}
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -74,6 +74,7 @@
 }
 
 func (d *pgFront) fresh() bool { return d.partAt == 0 }
+func (d *pgFront) ahead() bool { return true }
 func (d *pgFront) begin()      { d.partAt = 0 }
 
 // waits ends a client that does not get on with its start-up, or with what it began.
@@ -134,6 +135,12 @@
 	cc := d.cc
 	l := cc.l
 	size, want, text, err := d.from.Next(in)
+	if cc.call != nil { // a txn is in hand: only another one may be taken, what else comes is answered in its turn
+		if err != nil || want != pgwire.Statement {
+			return false
+		}
+		return d.behind(size, text)
+	}
 	if err == pgwire.ErrMore {
 		if d.partAt == 0 {
 			d.partAt = l.now
@@ -199,37 +206,70 @@
 		d.error("53300", "declined: too many are open", "")
 		return
 	}
+	d.begins(size, text, &a, true)
+}
+
+// behind takes a txn behind others of its connection, and tells whether it did. One with a fault waits for its turn.
+func (d *pgFront) behind(size int, text []byte) bool {
+	l := d.cc.l
+	var a Asked
+	if d.s.dialect.Read(text, &a) != nil || l.calls.used() >= l.p.plan.Door.Open {
+		return false
+	}
+	if _, open := l.outers[a.ID]; open {
+		return false
+	}
+	d.begins(size, text, &a, false)
+	return true
+}
+
+// begins makes a call of what was asked and hands it on; first: it is the one whose answer is next.
+func (d *pgFront) begins(size int, text []byte, a *Asked, first bool) {
+	cc := d.cc
+	l := cc.l
 	c := l.newCall()
-	c.client, cc.call = cc, c
+	c.client = cc
+	if first {
+		cc.call = c
+	} else {
+		cc.behind = append(cc.behind, queue{call: c})
+	}
 	c.product, c.keep, c.outer = int(a.Product), true, a.ID
 	c.in = logic.Txn{Product: a.Product, Customer: a.Customer, Key: a.Key, Cost: a.Cost, Repeat: a.Repeat, Expiry: l.now + a.Patience}
 	c.request = append(c.request[:0], text...)
 	c.from, c.to = a.From, a.To
 	l.outers[a.ID] = struct{}{}
 	cc.used(size)
-	cc.whole()
+	cc.whole(c)
 }
 
-// error answers what was never taken, or the txn in hand.
+// error answers what was never taken.
 func (d *pgFront) error(code, text, detail string) {
 	l := d.cc.l
 	l.scratch = pgwire.AppendError(l.scratch[:0], false, code, text, detail)
 	d.cc.put(l.scratch)
 }
 
+// fails answers a txn that was.
+func (d *pgFront) fails(c *call, code, text, detail string) {
+	l := d.cc.l
+	l.scratch = pgwire.AppendError(l.scratch[:0], false, code, text, detail)
+	d.cc.answer(c, l.scratch)
+}
+
 func (d *pgFront) declined(c *call, after logic.Nanos) {
 	detail := ""
 	if after > 0 {
 		detail = strconv.FormatInt(int64((after+logic.Millisecond-1)/logic.Millisecond), 10)
 	}
-	d.error("53300", "declined: trying again does no harm", detail)
+	d.fails(c, "53300", "declined: trying again does no harm", detail)
 }
 
 func (d *pgFront) voided(c *call) {
 	if l := d.cc.l; c.last == logic.TimedOut || c.last == logic.Cancelled || l.now >= c.in.Expiry {
-		d.error("57014", "voided: no answer in time; it may have had its effect", "")
+		d.fails(c, "57014", "voided: no answer in time; it may have had its effect", "")
 	} else {
-		d.error("58000", "voided: it may have had its effect", "")
+		d.fails(c, "58000", "voided: it may have had its effect", "")
 	}
 }
 
--- a/edge/seam.go
+++ b/edge/seam.go
@@ -22,7 +22,9 @@
 	// fresh tells whether nothing of a request has come, and begin that the next one may.
 	fresh() bool
 	begin()
-	// declined and voided answer the txn in hand.
+	// ahead tells whether read takes txns behind one that is in hand.
+	ahead() bool
+	// declined and voided answer a txn that is in hand.
 	declined(c *call, after logic.Nanos)
 	voided(c *call)
 }
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -259,11 +259,8 @@
 	if e == logic.OK && !c.answered && !c.left {
 		l.stats.settled++
 		cc := c.client
-		cc.put(out)
-		if cc.call == c {
-			cc.answered()
-		} else {
-			c.left = true
+		if cc.answer(c, out); !cc.closed {
+			cc.finish(c)
 		}
 	}
 	// Danger: bytes after a whole answer are an answer to nothing; the connection is not used again.
