A key counts as answered while a submission is out at the newest build, where unread answers count

At fault: logic/state.go least knew only of answers whose submission had ended, while the rule counts a key 150 ms after its answer was written, read or not: in between a second request of the key went to the build before.

Change: least holds a key while a submission of it is out at the newest build.

--- a/logic/emit.go
+++ b/logic/emit.go
@@ -81,7 +81,9 @@
 		s.exposure[s.lane(t.Product)]--
 	}
 	t.subs[t.n] = submission{to: w, sent: s.now, rel: w.Rel, out: true, arm: t.want.arm,
-		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge}
+		tells: w.Start <= 0 || s.now-w.Start >= warmUpAge,
+		asks:  t.Key != 0 && w.Rel == s.trial && s.flag("release.one-way") && s.flag("rules.unread-counts")}
+	s.ask(t, &t.subs[t.n], 1)
 	t.n++
 	s.weigh(w)
 	s.out.Submit(t.ID, w.ID, 0)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,8 @@
 // New makes a sentry from the settings, a plain map of names to values.
 func New(now Nanos, seed int64, settings map[string]any, out Sink) *Sentry {
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
-		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]RelID{}, refilled: now, places: map[where]*place{},
+		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]RelID{}, asked: map[KeyID]int{}, refilled: now,
+		places: map[where]*place{},
 		blur: 0.5, unsteady: 1, squeeze: 1}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
@@ -488,6 +489,7 @@
 	sub.ran = o.Ending != Full && o.Ending != ConnectFailed && o.Ending != Moot
 	sub.to.open--
 	s.held--
+	s.ask(t, sub, -1)
 	// Danger: what broke off, came spoilt or was called off may have been answered; then the key counts.
 	if sub.rel == s.trial && (o.Ending == OK || o.Given) {
 		s.meet(t)
--- a/logic/state.go
+++ b/logic/state.go
@@ -99,6 +99,7 @@
 	out, ran bool // ran: it may have run
 	arm      arm
 	tells    bool // its outcome is evidence
+	asks     bool // its key counts as answered while it is out
 }
 
 // txn is a txn in hand: what is wanted for it, and what it has.
@@ -168,6 +169,7 @@
 	exposure  []float64
 	refilled  Nanos
 	metTrial  map[KeyID]RelID // the newest build that has answered a key
+	asked     map[KeyID]int   // submissions of a key that are out at the newest build and may have been answered unread
 
 	own                   evidence
 	peers                 []evidence // by their number
@@ -418,14 +420,28 @@
 	return s.news.Cap
 }
 
-// least is the earliest build that t may go to: none before the newest that has answered its key.
+// least is the earliest build that t may go to: none before the newest that has answered its key, or may have.
 func (s *Sentry) least(t *txn) RelID {
-	if t.Key == 0 || len(s.metTrial) == 0 {
+	if t.Key == 0 || len(s.metTrial)+len(s.asked) == 0 {
 		return 0
 	}
+	if s.asked[t.Key] > 0 && !(s.news.back() && s.news.Rel == s.trial) {
+		return s.trial
+	}
 	return s.metTrial[t.Key]
 }
 
+// ask counts a submission to the newest build that goes out, or comes back, where an answer counts once it is written.
+// Danger: an answer in a link that has fallen silent has been given, and nobody here knows.
+func (s *Sentry) ask(t *txn, sub *submission, by int) {
+	if !sub.asks {
+		return
+	}
+	if s.asked[t.Key] += by; s.asked[t.Key] <= 0 {
+		delete(s.asked, t.Key)
+	}
+}
+
 // Told takes what another sentry has seen of a build.
 func (s *Sentry) Told(now Nanos, from int, data []byte) {
 	s.now = now
