--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,7 +59,7 @@
 	s := &Sentry{set: settings, rng: rand.New(rand.NewSource(seed)), out: out, now: now, byID: map[TxnID]int32{},
 		workers: map[WorkerID]*worker{}, metTrial: map[KeyID]RelID{}, asked: map[KeyID]int{}, refilled: now,
 		places: map[where]*place{},
-		blur: 0.5, unsteady: 1, squeeze: 1}
+		blur:   0.5, unsteady: 1, squeeze: 1}
 	s.readProducts()
 	// A restart forgets what was sent: the count of exposure starts with nothing to spare, and no news.
 	s.news.Rel = -1
