A request's time counts from when its last byte came, also behind others

At fault: edge/pg.go counted the expiry from when a statement was taken from the buffer: the ninth and later ones got all of their time anew. Now a connection notes when its bytes came; one whose time is over when its turn comes is given up by the module, unsent.

--- a/edge/client.go
+++ b/edge/client.go
@@ -40,6 +40,9 @@
 	unsent  int // bytes not sent when last looked at
 	unsentN logic.Nanos
 	holds   int         // bytes that came and were not used yet
+	came    int64       // bytes that came in all, and
+	usedUp  int64       // those that were used
+	marks   []mark      // when those that were not used came, oldest first
 	parts   bool        // once all has left, our sending ends
 	partsAt logic.Nanos // since when it has; 0: it has not
 }
@@ -50,6 +53,40 @@
 	answer []byte
 }
 
+// mark notes that a connection's bytes up to one had come by a time.
+type mark struct {
+	end int64
+	at  logic.Nanos
+}
+
+// marksMost is how many pieces of what waits are told apart.
+const marksMost = 64
+
+// arrive notes what has just come. Danger: what waits behind others has its time from when it came, not from when its turn
+// comes. Of very many small pieces the later ones count as come with those before: too early does no harm.
+func (cc *clientConn) arrive() {
+	n := len(cc.early) + cc.c.InboundBuffered() - cc.holds
+	if n <= 0 {
+		return
+	}
+	cc.came += int64(n)
+	if last := len(cc.marks) - 1; len(cc.marks) >= marksMost || last >= 0 && cc.marks[last].at == cc.l.now {
+		cc.marks[last].end = cc.came
+		return
+	}
+	cc.marks = append(cc.marks, mark{cc.came, cc.l.now})
+}
+
+// cameBy gives when the last of the next size bytes came.
+func (cc *clientConn) cameBy(size int) logic.Nanos {
+	for _, m := range cc.marks {
+		if m.end >= cc.usedUp+int64(size) {
+			return m.at
+		}
+	}
+	return cc.l.now
+}
+
 // aheadMost is how many txns of one connection may be in hand behind the first.
 const aheadMost = 7
 
@@ -76,8 +113,8 @@
 
 func (l *loop) openClient(c gnet.Conn, d *door) {
 	at, cc := l.doors.take()
-	was, behind := cc.says, cc.behind[:0]
-	*cc = clientConn{behind: behind, l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
+	was, behind, marks := cc.says, cc.behind[:0], cc.marks[:0]
+	*cc = clientConn{behind: behind, marks: marks, l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
 	cc.says = l.p.speech.front(cc, was)
 	c.SetContext(cc)
 	l.stats.clients++
@@ -297,6 +334,10 @@
 	if n == 0 {
 		return
 	}
+	cc.usedUp += int64(n)
+	for len(cc.marks) > 0 && cc.marks[0].end <= cc.usedUp {
+		cc.marks = cc.marks[:copy(cc.marks, cc.marks[1:])]
+	}
 	if len(cc.early) > 0 {
 		if cc.early = cc.early[n:]; len(cc.early) == 0 {
 			cc.early = nil
@@ -345,7 +386,7 @@
 	c.taken = true
 	l.stats.taken++
 	c.in.ID = c.id()
-	if c.in.Expiry <= l.now { // the body took all the time there was
+	if c.in.Expiry < l.now { // the body took all the time there was
 		c.in.Expiry = l.now + 1
 	}
 	if at := c.in.Expiry - early; at > l.now && l.p.live != nil {
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -624,6 +624,7 @@
 	l.enter()
 	switch ctx := c.Context().(type) {
 	case *clientConn:
+		ctx.arrive()
 		ctx.read()
 	case *workerConn:
 		ctx.read()
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -235,7 +235,8 @@
 		cc.behind = append(cc.behind, queue{call: c})
 	}
 	c.product, c.keep, c.outer = int(a.Product), true, a.ID
-	c.in = logic.Txn{Product: a.Product, Customer: a.Customer, Key: a.Key, Cost: a.Cost, Repeat: a.Repeat, Expiry: l.now + a.Patience}
+	c.in = logic.Txn{Product: a.Product, Customer: a.Customer, Key: a.Key, Cost: a.Cost, Repeat: a.Repeat,
+		Expiry: max(l.now, cc.cameBy(size)+a.Patience)} // one whose time is over is given up by the module
 	c.request = append(c.request[:0], text...)
 	c.from, c.to = a.From, a.To
 	l.outers[a.ID] = struct{}{}
