--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -98,7 +98,8 @@
 	c.answered, c.client, cc.call = true, nil, nil
 	c.subs[n].state, c.subs[n].conn = subCarried, nil
 	gc := cc.c
-	cc.closed, cc.c = true, nil
+	l.holding -= cc.holds
+	cc.closed, cc.c, cc.holds = true, nil, 0
 	cc.gen++
 	l.doors.give(cc.at)
 	l.el.Close(gc)
