Each end of a client's connection has a reason; a stop tells its stages with figures

Cause: the report's log said 'cut: 0' while a request was cut; which connections were open, in what state and why each ended was not told.

Change: reasons of ends and requests owed then, as metrics (client_connections_ended_total, requests_owed_at_end_total) and as a log line with connection, request and attempts; the stop logs its stages with a census of connections; 'stopped' tells what was owed. The drain has a file of its own.

--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -45,7 +45,7 @@
 	if cc.c.OutboundBuffered() > 0 { // an earlier answer leaves first
 		if int64(len(b.buf)+len(b.body)) > l.p.plan.Door.Unsent {
 			l.stats.slowReaders++
-			cc.close(true)
+			cc.close(true, endSlowReader)
 			return true
 		}
 		return false
--- a/edge/client.go
+++ b/edge/client.go
@@ -26,6 +26,7 @@
 	c       gnet.Conn
 	at      int32
 	gen     uint32
+	serial  uint64 // of the connection in this sentry's life
 	state   doorState
 	closed  bool
 	says    frontSpeech
@@ -118,6 +119,7 @@
 	cc.says = l.p.speech.front(cc, was)
 	c.SetContext(cc)
 	l.stats.clients++
+	cc.serial = l.stats.clients
 	l.armClient(cc, l.now+logic.Nanos(min(l.p.plan.Door.Idle, l.p.plan.Door.SlowHead)))
 	if l.draining {
 		l.armClient(cc, l.now)
@@ -154,14 +156,14 @@
 			return
 		}
 		if out == 0 {
-			cc.close(false)
+			cc.close(false, endAnswered)
 			return
 		}
 		if out != cc.unsent {
 			cc.unsent, cc.unsentN = out, l.now
 		} else if l.now-cc.unsentN > logic.Nanos(d.SlowReader) {
 			l.stats.slowReaders++
-			cc.close(true)
+			cc.close(true, endSlowReader)
 			return
 		}
 		wait := l.now + 50*logic.Millisecond
@@ -191,7 +193,7 @@
 	}
 	if best != nil {
 		l.stats.shed++
-		best.close(false)
+		best.close(false, endShed)
 	}
 }
 
@@ -199,7 +201,7 @@
 const newcomer = 100 * logic.Millisecond
 
 // close ends the connection; hard sends a reset in place of what has not been sent.
-func (cc *clientConn) close(hard bool) {
+func (cc *clientConn) close(hard bool, why endReason) {
 	if cc.closed {
 		return
 	}
@@ -212,13 +214,14 @@
 		cc.c.SetLinger(0)
 	}
 	c := cc.c
-	cc.gone()
+	cc.gone(why)
 	cc.l.el.Close(c)
 }
 
 // gone books the end of the connection; a txn in hand loses its client.
-func (cc *clientConn) gone() {
+func (cc *clientConn) gone(why endReason) {
 	l := cc.l
+	cc.bookEnd(why)
 	cc.closed = true
 	l.clients.Add(-1)
 	l.p.open.Add(-1)
@@ -271,7 +274,7 @@
 	case l.now < cc.partsAt+parting:
 		l.armClient(cc, cc.partsAt+parting)
 	default:
-		cc.close(false)
+		cc.close(false, endDrain)
 	}
 }
 
@@ -307,7 +310,7 @@
 			l.holding -= most.holds
 			most.holds = 0
 		} else {
-			most.close(true)
+			most.close(true, endOverfull)
 		}
 	}
 }
@@ -410,7 +413,7 @@
 	if out := cc.c.OutboundBuffered(); out > 0 {
 		if int64(out) > cc.l.p.plan.Door.Unsent {
 			cc.l.stats.slowReaders++
-			cc.close(true)
+			cc.close(true, endSlowReader)
 			return
 		}
 		cc.l.armClient(cc, cc.l.now+50*logic.Millisecond)
@@ -479,7 +482,7 @@
 		return
 	}
 	if !keep {
-		cc.close(false)
+		cc.close(false, endAnswered)
 		return
 	}
 	cc.state, cc.since = reading, l.now
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -71,7 +71,7 @@
 				return 0
 			}
 		} else if until = cc.since + logic.Nanos(door.Idle); until <= l.now || l.draining && l.now >= l.drainAt+linger {
-			cc.close(false)
+			cc.close(false, l.idleReason())
 			return 0
 		} else if l.draining {
 			until = l.drainAt + linger
@@ -349,7 +349,7 @@
 		return
 	}
 	if !keep {
-		cc.close(false)
+		cc.close(false, endAnswered)
 	}
 }
 
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -654,7 +654,7 @@
 	switch ctx := c.Context().(type) {
 	case *clientConn:
 		if !ctx.closed {
-			ctx.gone()
+			ctx.gone(l.reasonOf(err))
 		}
 	case *workerConn:
 		if !ctx.closed {
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -93,13 +93,13 @@
 	case cc.served == 0 && (d.partAt > 0 || !d.from.Started()):
 		if until = cc.opened + logic.Nanos(door.SlowHead); until <= l.now {
 			l.stats.refused++
-			d.end("08P01", "the first message came too slowly")
+			d.end(endSlow, "08P01", "the first message came too slowly")
 			return 0
 		}
 	case d.partAt > 0:
 		if until = d.partAt + logic.Nanos(door.SlowBody); until <= l.now {
 			l.stats.refused++
-			d.end("08P01", "the message came too slowly")
+			d.end(endSlow, "08P01", "the message came too slowly")
 			return 0
 		}
 	default:
@@ -111,7 +111,7 @@
 			if cc.unread() { // a request arrived at this moment
 				return l.now + logic.Millisecond
 			}
-			cc.close(false)
+			cc.close(false, l.idleReason())
 			return 0
 		}
 		if until = min(until, l.now+logic.Nanos(door.Spare)); l.draining {
@@ -122,13 +122,13 @@
 }
 
 // end tells the client what was wrong, and ends the connection: what follows cannot be trusted to be a message.
-func (d *pgFront) end(code, text string) {
+func (d *pgFront) end(why endReason, code, text string) {
 	cc := d.cc
 	l := cc.l
 	cc.used(len(cc.input()))
 	l.scratch = pgwire.AppendError(l.scratch[:0], true, code, text, "")
 	cc.put(l.scratch)
-	cc.close(false)
+	cc.close(false, why)
 }
 
 func (d *pgFront) read(in []byte) bool {
@@ -152,7 +152,7 @@
 		var f *pgwire.Fault
 		errors.As(err, &f)
 		l.stats.refused++
-		d.end(f.Code, f.What)
+		d.end(endMalformed, f.Code, f.What)
 		return false
 	}
 	d.partAt = 0
@@ -167,7 +167,7 @@
 		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.Spare))
 	case pgwire.Leave:
 		cc.used(size)
-		cc.close(false)
+		cc.close(false, endByClient)
 	case pgwire.Empty:
 		if !l.canServe() {
 			d.asksAt = l.now
--- a/edge/process.go
+++ b/edge/process.go
@@ -155,6 +155,7 @@
 	}
 	<-ctx.Done()
 	began := time.Now()
+	p.log.Info("stopping: still accepting", zap.Int64("open", p.open.Load()), zap.Duration("for", p.plan.KeepOpen))
 	time.Sleep(p.plan.KeepOpen) // clients still come for as long
 	// Danger: connections that the kernel has accepted and we have not would be reset. So all that is there is taken first.
 	if l, ok := p.listener.(*net.TCPListener); ok {
@@ -163,7 +164,9 @@
 	}
 	p.listener.Close()
 	accepting.Wait()
+	p.log.Info("stopping: listener closed", p.census().fields()...)
 	held := p.drain()
+	p.log.Info("stopping: drain ended", append(p.census().fields(), zap.Int64("held", held))...)
 	if admin != nil {
 		admin.Close()
 	}
@@ -171,7 +174,8 @@
 	group.Wait()
 	p.stopLoops()
 	p.lastSave()
-	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Int64("cut", held))
+	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Int64("cut", held),
+		zap.Uint64("owed", p.owed()))
 	if held > 0 {
 		return fmt.Errorf("drain: %d txns or streams were still open after %v", held, p.plan.DrainWithin)
 	}
@@ -232,55 +236,6 @@
 	}
 }
 
-// drain has every loop answer what it holds, and gives how much was left when the time was up.
-func (p *Process) drain() int64 {
-	ask := func(do func(l *loop) int64) int64 {
-		sum := int64(0)
-		for _, l := range p.loops {
-			got := make(chan int64, 1)
-			l.post(func() { got <- do(l) })
-			sum += <-got
-		}
-		return sum
-	}
-	held := ask((*loop).beginDrain)
-	until := time.Now().Add(p.plan.DrainWithin)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for held > 0 && time.Now().Before(until) {
-		<-tick.C
-		held = ask((*loop).held)
-	}
-	return held
-}
-
-// linger is how long an idle connection stays open once a drain has begun. Danger: a request that was on its way when
-// its connection closed is lost without an answer; those that arrive within this time still get theirs.
-const linger = 100 * logic.Millisecond
-
-// beginDrain has every answer from now on be its connection's last, and what stays idle close.
-func (l *loop) beginDrain() int64 {
-	l.draining, l.drainAt = true, l.now
-	for _, cc := range l.doors.items {
-		if !cc.closed && cc.c != nil && cc.state == reading && cc.says.fresh() {
-			l.armClient(cc, l.now+linger)
-		}
-	}
-	return l.held()
-}
-
-// held counts the txns and streams that still owe their client something, answers not sent yet, and idle connections
-// that linger.
-func (l *loop) held() int64 {
-	n := l.stats.carrying
-	for _, cc := range l.doors.items {
-		if !cc.closed && cc.c != nil && (cc.call != nil && cc.call.taken || cc.state == onlyOut || l.now < l.drainAt+linger) {
-			n++
-		}
-	}
-	return n
-}
-
 // wakePair gives two ends of a pipe for waking a loop: ours to write, and the loop's.
 func wakePair() (ours, theirs net.Conn, err error) {
 	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -15,6 +15,7 @@
 	carrying                                         int64
 	endings                                          [16]uint64
 	replies                                          [6]uint64
+	ends, owed                                       [endReasons]uint64 // of clients' connections, and requests unanswered then
 	// As it is now.
 	open, inHand, toWorkers int64
 }
@@ -45,13 +46,15 @@
 	descRefused = desc("requests_refused_total", "Requests that were never taken.", "why")
 	descDials   = desc("dials_total", "Connections asked of workers.", "ok")
 	descGarbage = desc("worker_garbage_total", "Answers that made no sense.")
+	descEnds    = desc("client_connections_ended_total", "Connections of clients by why they ended.", "reason")
+	descOwed    = desc("requests_owed_at_end_total", "Requests unanswered when this process ended their connection; any is a defect, but for slow readers.", "reason")
 	descGauge   = desc("now", "Things held at this moment.", "what")
 	descBug     = desc("unanswered_total", "Txns that the host had to void at their expiry; any is a defect.")
 )
 
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descTxns, descTaken, descEndings, descSent, descRefused, descDials, descGarbage,
-		descGauge, descBug} {
+		descEnds, descOwed, descGauge, descBug} {
 		ch <- d
 	}
 }
@@ -78,6 +81,10 @@
 			count(descEndings, s.endings[e], text)
 		}
 		count(descSent, s.sent)
+		for why, name := range endNames {
+			count(descEnds, s.ends[why], name)
+			count(descOwed, s.owed[why], name)
+		}
 		count(descRefused, s.refused, "malformed")
 		count(descRefused, s.unrouted, "no-route")
 		count(descRefused, s.atDoor, "open-limit")
