A stop takes each connection off its loop before it ends it, and ends when none is left

Cause: check-then-act. drain() ended the loops after a count (held) that the loops could outdate: an idle connection with unread bytes was kept for 1 ms, a part of a message or a silent connection counted for nothing, and all were read until the end (edge/drain.go). After the last answer of a connection its input was read on and thrown away (edge/client.go, part, take). Ruled out: server failure, patience, signals during the stop.

Change: a connection that owes nothing leaves the poller on its own loop and is closed once its last answer is acknowledged; what crosses that is unread, which the kernel tells by a reset. The process ends when no connection is left in another state; no linger, no tick. The accept queue is emptied before the listener closes. What is in hand is answered 100 ms before the end of the drain, a part of a message gets its error.

--- a/edge/call.go
+++ b/edge/call.go
@@ -38,6 +38,7 @@
 	toHead   bool // a HEAD: its answer has no body
 	minor    int  // of the client's version
 	keep     bool // the client's connection stays open
+	closes   bool // its answer says that the connection ends with it
 	in       logic.Txn
 	taken    bool      // the module has it
 	outer    uint64    // its id as its client knows it, where ids are its clients'
--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -45,7 +45,7 @@
 	if cc.c.OutboundBuffered() > 0 { // an earlier answer leaves first
 		if int64(len(b.buf)+len(b.body)) > l.p.plan.Door.Unsent {
 			l.stats.slowReaders++
-			cc.close(true, endSlowReader)
+			cc.abort(endSlowReader)
 			return true
 		}
 		return false
@@ -165,6 +165,8 @@
 			if t, ok := k.client.(*net.TCPConn); ok {
 				t.SetLinger(0)
 			}
+		} else {
+			k.awaitDelivery()
 		}
 		k.client.Close()
 		l.clients.Add(-1)
@@ -186,6 +188,34 @@
 	})
 }
 
+// awaitDelivery waits until the client's host has acknowledged the answer, as a close before that with a request unread would destroy it.
+func (k *carrier) awaitDelivery() {
+	c, ok := k.client.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.CloseWrite()
+	until := time.Now().Add(k.l.p.plan.Door.SlowReader)
+	look := time.NewTicker(time.Duration(closingLook))
+	defer look.Stop()
+	for time.Now().Before(until) {
+		left := 0
+		raw.Control(func(fd uintptr) { left = unacknowledged(int(fd)) })
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-look.C:
+		case <-k.l.quit:
+			return
+		}
+	}
+}
+
 // copy moves the rest of the answer, and tells how either side failed.
 func (k *carrier) copy() (fromWorker, toClient error) {
 	d := &k.l.p.plan.Door
--- a/edge/client.go
+++ b/edge/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"dunegrade/logic"
 )
@@ -40,12 +39,11 @@
 	served  uint64
 	unsent  int // bytes not sent when last looked at
 	unsentN logic.Nanos
-	holds   int         // bytes that came and were not used yet
-	came    int64       // bytes that came in all, and
-	usedUp  int64       // those that were used
-	marks   []mark      // when those that were not used came, oldest first
-	parts   bool        // once all has left, our sending ends
-	partsAt logic.Nanos // since when it has; 0: it has not
+	holds   int       // bytes that came and were not used yet
+	came    int64     // bytes that came in all, and
+	usedUp  int64     // those that were used
+	marks   []mark    // when those that were not used came, oldest first
+	ends    endReason // where the last answer leaves: why the connection ends then
 }
 
 // queue is a txn taken behind others of its connection. Its answer waits for its turn.
@@ -121,12 +119,12 @@
 	l.stats.clients++
 	cc.serial = l.stats.clients
 	l.armClient(cc, l.now+logic.Nanos(min(l.p.plan.Door.Idle, l.p.plan.Door.SlowHead)))
-	if l.draining {
-		l.armClient(cc, l.now)
-	}
 	if len(cc.early) > 0 {
 		cc.read()
 	}
+	if l.draining && !cc.closed { // it came back from a carrier
+		l.armClient(cc, l.now)
+	}
 }
 
 // armClient has the connection looked at by then; it is in the heap once at the most.
@@ -151,19 +149,15 @@
 		until = l.now + logic.Nanos(d.Idle)
 	}
 	if out := cc.c.OutboundBuffered(); out > 0 || cc.state == onlyOut {
-		if out == 0 && cc.parts {
-			cc.part()
-			return
-		}
 		if out == 0 {
-			cc.close(false, endAnswered)
+			cc.close(cc.ends)
 			return
 		}
 		if out != cc.unsent {
 			cc.unsent, cc.unsentN = out, l.now
 		} else if l.now-cc.unsentN > logic.Nanos(d.SlowReader) {
 			l.stats.slowReaders++
-			cc.close(true, endSlowReader)
+			cc.abort(endSlowReader)
 			return
 		}
 		wait := l.now + 50*logic.Millisecond
@@ -187,37 +181,21 @@
 			cc.served > 0 && l.now-cc.since < logic.Nanos(l.p.plan.Door.Spare) {
 			continue
 		}
-		if best == nil || cc.served == 0 && best.served > 0 || (cc.served == 0) == (best.served == 0) && cc.since < best.since {
+		if best != nil && (cc.served > 0 && best.served == 0 || (cc.served == 0) == (best.served == 0) && cc.since >= best.since) {
+			continue
+		}
+		if !cc.unread() { // else its request is here already
 			best = cc
 		}
 	}
-	if best != nil {
+	if best != nil && best.retire(endShed) {
 		l.stats.shed++
-		best.close(false, endShed)
 	}
 }
 
 // newcomer is how long a connection that has asked nothing yet is spared: its first request may be on its way.
 const newcomer = 100 * logic.Millisecond
 
-// close ends the connection; hard sends a reset in place of what has not been sent.
-func (cc *clientConn) close(hard bool, why endReason) {
-	if cc.closed {
-		return
-	}
-	if !hard && cc.c.OutboundBuffered() > 0 {
-		cc.state = onlyOut
-		cc.l.armClient(cc, cc.l.now+2*logic.Millisecond)
-		return
-	}
-	if hard {
-		cc.c.SetLinger(0)
-	}
-	c := cc.c
-	cc.gone(why)
-	cc.l.el.Close(c)
-}
-
 // gone books the end of the connection; a txn in hand loses its client.
 func (cc *clientConn) gone(why endReason) {
 	l := cc.l
@@ -256,35 +234,6 @@
 	l.endWaiting(c)
 }
 
-// parting is how long a connection whose answers have ended stays readable.
-const parting = 200 * logic.Millisecond
-
-// part ends our sending, and the connection once the client has ended its own, or after a while. Danger: what is closed
-// with bytes unread is reset, and a reset takes with it what the client has not received yet.
-func (cc *clientConn) part() {
-	l := cc.l
-	cc.state, cc.parts = onlyOut, true
-	switch {
-	case cc.c.OutboundBuffered() > 0:
-		l.armClient(cc, l.now+2*logic.Millisecond)
-	case cc.partsAt == 0:
-		cc.partsAt = l.now
-		unix.Shutdown(cc.c.Fd(), unix.SHUT_WR) // one that is gone tells so by itself
-		l.armClient(cc, l.now+parting)
-	case l.now < cc.partsAt+parting:
-		l.armClient(cc, cc.partsAt+parting)
-	default:
-		cc.close(false, endDrain)
-	}
-}
-
-// unread tells whether bytes have come to the socket that were not read yet.
-func (cc *clientConn) unread() bool {
-	var b [1]byte
-	n, _, err := unix.Recvfrom(cc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == nil && n > 0
-}
-
 // account counts the bytes that are held for clients. Danger: each connection's are bounded, but those of many at once
 // would still fill memory; past the bound in sum the one that holds most gives its up.
 func (cc *clientConn) account() {
@@ -310,7 +259,7 @@
 			l.holding -= most.holds
 			most.holds = 0
 		} else {
-			most.close(true, endOverfull)
+			most.abort(endOverfull)
 		}
 	}
 }
@@ -389,6 +338,9 @@
 	c.taken = true
 	l.stats.taken++
 	c.in.ID = c.id()
+	if l.draining { // it is answered while its answer can still be delivered
+		c.in.Expiry = min(c.in.Expiry, l.lastAnswers)
+	}
 	if c.in.Expiry < l.now { // the body took all the time there was
 		c.in.Expiry = l.now + 1
 	}
@@ -413,7 +365,7 @@
 	if out := cc.c.OutboundBuffered(); out > 0 {
 		if int64(out) > cc.l.p.plan.Door.Unsent {
 			cc.l.stats.slowReaders++
-			cc.close(true, endSlowReader)
+			cc.abort(endSlowReader)
 			return
 		}
 		cc.l.armClient(cc, cc.l.now+50*logic.Millisecond)
@@ -442,7 +394,7 @@
 	for i := range cc.behind {
 		if cc.behind[i].call == c {
 			cc.behind[i].call = nil
-			cc.last = cc.last || !c.keep
+			cc.last = cc.last || !c.keep || c.closes
 			c.answered, c.client = true, nil
 			cc.l.drop(c)
 			return
@@ -453,7 +405,7 @@
 // answered ends the txn in hand for its client, and sends the answers that waited for it.
 func (cc *clientConn) answered() {
 	l, c := cc.l, cc.call
-	cc.last = cc.last || !c.keep
+	cc.last = cc.last || !c.keep || c.closes
 	c.answered, c.client, cc.call = true, nil, nil
 	cc.served++
 	l.drop(c)
@@ -475,19 +427,17 @@
 		l.resume = append(l.resume, cc)
 		return
 	}
-	// Danger: what has come in behind a txn before its answer is taken as well, also while this edge drains.
-	keep := !cc.last && (!l.draining || cc.says.ahead() && len(cc.input()) > 0)
-	if !keep && l.draining && !cc.l.stopping {
-		cc.part()
-		return
-	}
-	if !keep {
-		cc.close(false, endAnswered)
+	if cc.last {
+		cc.close(endAnswered)
 		return
 	}
 	cc.state, cc.since = reading, l.now
 	cc.says.begin()
-	l.resume = append(l.resume, cc)
+	if l.draining && len(cc.input()) == 0 {
+		l.drainClient(cc)
+		return
+	}
+	l.resume = append(l.resume, cc) // what came in behind it is owed its answer, also in a drain
 }
 
 // answerDecline tells the client that trying again does no harm.
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -54,7 +54,7 @@
 }
 
 func (d *httpFront) ahead() bool { return false }
-func (d *httpFront) fresh() bool { return d.part == readHead }
+func (d *httpFront) fresh() bool { return d.part == readHead && d.headAt == 0 }
 func (d *httpFront) begin()      { d.part = readHead }
 
 // waits ends what has waited for too long. Slow heads and bodies hold memory, so each has its limit.
@@ -70,11 +70,11 @@
 				l.refuse(cc, 408, "the head came too slowly")
 				return 0
 			}
-		} else if until = cc.since + logic.Nanos(door.Idle); until <= l.now || l.draining && l.now >= l.drainAt+linger {
-			cc.close(false, l.idleReason())
-			return 0
 		} else if l.draining {
-			until = l.drainAt + linger
+			l.drainClient(cc)
+			return 0
+		} else if until = cc.since + logic.Nanos(door.Idle); until <= l.now {
+			return cc.endIdle()
 		}
 	case readFixed, readChunks:
 		if until = cc.since + logic.Nanos(door.SlowBody); until <= l.now {
@@ -85,6 +85,8 @@
 	return until
 }
 
+func (d *httpFront) stop() { d.cc.l.refuse(d.cc, 503, "the process stops") }
+
 func (d *httpFront) read(in []byte) bool {
 	cc := d.cc
 	switch d.part {
@@ -136,7 +138,7 @@
 		l.refuse(cc, 413, "the body is larger than the limit")
 		return false
 	}
-	if l.calls.used() >= l.p.plan.Door.Open {
+	if l.calls.used() >= l.p.plan.Door.Open || !l.inDrainTime() {
 		l.stats.atDoor++
 		cc.used(n)
 		l.reply(cc, 503, declinedText, 100*logic.Millisecond, r.Length == 0 && !r.Close && !l.draining)
@@ -337,6 +339,9 @@
 	}
 	if !keep {
 		out = append(out, "\r\nConnection: close"...)
+		if cc.call != nil {
+			cc.call.closes = true
+		}
 	}
 	out = append(out, "\r\n\r\n"...)
 	if cc.call == nil || !cc.call.toHead {
@@ -349,7 +354,7 @@
 		return
 	}
 	if !keep {
-		cc.close(false, endAnswered)
+		cc.close(endAnswered)
 	}
 }
 
--- /dev/null
+++ b/edge/closing.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"dunegrade/logic"
+)
+
+// closingConn is a client's connection that has left the event loop: nothing is read from it any more, and it is closed once its client's
+// host has acknowledged all that was sent.
+//
+// A request that crosses this is left unread, and the kernel answers it with a reset, by which its client knows that it may be sent
+// again. A close before the acknowledgement would let that reset destroy the last answer.
+type closingConn struct {
+	fd    int
+	since logic.Nanos
+}
+
+const (
+	// closingLook is how often such connections are looked at; the kernel tells nobody of an acknowledgement.
+	closingLook = logic.Millisecond
+	// unknownDelivery is how long a connection is left to deliver its last answer where the kernel does not tell what is
+	// acknowledged: the least time after which Linux sends a segment again.
+	unknownDelivery = 200 * logic.Millisecond
+)
+
+// close ends the connection once what was written has left this process. What is still in hand loses its client.
+func (cc *clientConn) close(why endReason) {
+	if cc.closed || cc.leave(why) {
+		return
+	}
+	cc.state, cc.ends = onlyOut, why
+	cc.l.armClient(cc, cc.l.now+2*logic.Millisecond)
+}
+
+// leave takes the connection off the event loop, closed or to be closed when its last answer has been delivered. It tells whether it
+// could; else nothing has changed.
+func (cc *clientConn) leave(why endReason) bool {
+	l, c := cc.l, cc.c
+	if c.OutboundBuffered() > 0 {
+		return false
+	}
+	if unacknowledged(c.Fd()) == 0 {
+		cc.gone(why)
+		l.el.Close(c)
+		return true
+	}
+	fd, err := c.Dup()
+	if err != nil { // out of descriptors; it needs none once its last answer is acknowledged
+		return false
+	}
+	unix.Shutdown(fd, unix.SHUT_WR) // one that is gone tells so by itself
+	l.p.open.Add(1)                 // until it is closed
+	l.clients.Add(1)
+	cc.gone(why)
+	l.el.Close(c)
+	l.closing = append(l.closing, closingConn{fd, l.now})
+	l.lookAtClosingSoon()
+	return true
+}
+
+// abort ends the connection at once, with a reset in place of what was not delivered.
+func (cc *clientConn) abort(why endReason) {
+	if cc.closed {
+		return
+	}
+	cc.c.SetLinger(0)
+	c := cc.c
+	cc.gone(why)
+	cc.l.el.Close(c)
+}
+
+// retire ends a connection on which nothing is owed, and tells whether it could: one that has a part of a request, or answers not sent, is
+// still needed.
+//
+// Nothing is read between the look at what has come in and the end, as both happen on the loop that reads.
+func (cc *clientConn) retire(why endReason) bool {
+	return cc.state == reading && cc.call == nil && cc.says.fresh() && len(cc.input()) == 0 && cc.leave(why)
+}
+
+func (l *loop) lookAtClosingSoon() {
+	if !l.closingArmed {
+		l.closingArmed = true
+		l.heap.push(timer{at: l.now + closingLook, kind: closingAt})
+	}
+}
+
+// lookAtClosing closes the connections whose last answer has been delivered, is undeliverable, or has taken too long.
+func (l *loop) lookAtClosing() {
+	l.closingArmed = false
+	kept := l.closing[:0]
+	for _, c := range l.closing {
+		if !l.delivered(c) {
+			kept = append(kept, c)
+			continue
+		}
+		unix.Close(c.fd)
+		l.p.open.Add(-1)
+		l.clients.Add(-1)
+	}
+	l.closing = kept
+	if len(kept) > 0 {
+		l.lookAtClosingSoon()
+	}
+}
+
+func (l *loop) delivered(c closingConn) bool {
+	waited := l.now - c.since
+	switch left := unacknowledged(c.fd); {
+	case left == 0:
+		return true
+	case left < 0:
+		return waited >= unknownDelivery
+	case waited >= logic.Nanos(l.p.plan.Door.SlowReader):
+		l.stats.slowReaders++
+		return true
+	}
+	_, err := peekByte(c.fd)
+	return err != nil && err != unix.EAGAIN // it broke
+}
+
+// closeAllClosing closes what still waits when the loop ends.
+func (l *loop) closeAllClosing() {
+	if n := len(l.closing); n > 0 {
+		l.log.Warn("answers not acknowledged at the end", zap.Int("connections", n))
+	}
+	for _, c := range l.closing {
+		unix.Close(c.fd)
+	}
+	l.closing = nil
+}
+
+// unacknowledged gives how many bytes sent on a connection, its end included, the other host has not acknowledged; negative where the
+// kernel does not tell.
+func unacknowledged(fd int) int {
+	for {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err == unix.EINTR {
+			continue
+		}
+		if err != nil {
+			return -1
+		}
+		return n
+	}
+}
+
+// peekByte looks whether bytes have come that were not read yet, 0 at the end of what is to come.
+func peekByte(fd int) (n int, err error) {
+	var b [1]byte
+	for {
+		n, _, err = unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err != unix.EINTR {
+			return n, err
+		}
+	}
+}
+
+// unread tells whether bytes have come to the socket that were not read yet.
+func (cc *clientConn) unread() bool {
+	n, err := peekByte(cc.c.Fd())
+	return err == nil && n > 0
+}
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -3,9 +3,87 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"dunegrade/logic"
 )
 
+// A process stops by bringing each connection of a client to a state from which no request can be read any more, on the loop that owns
+// it, and ends when no connection is in another state. No new one can come by then: the listener is closed and its queue empty. So
+// no count can be outdated between the look and the end, and no span has to be long enough.
+
+// answerMargin is how long before the end of a drain the last answers are written, so that they are delivered by then.
+const answerMargin = 100 * logic.Millisecond
+
+// drain has every loop answer what it holds and end its connections, until a deadline at the latest. It tells whether all was done.
+func (p *Process) drain(deadline time.Time) bool {
+	left := logic.Nanos(time.Until(deadline))
+	for _, l := range p.loops {
+		l.post(func() { l.beginDrain(left) })
+	}
+	late := time.NewTimer(time.Until(deadline))
+	defer late.Stop()
+	for _, l := range p.loops {
+		select {
+		case <-l.drained:
+		case <-late.C:
+			return false
+		}
+	}
+	return true
+}
+
+// beginDrain ends the connections that owe nothing. Each other one ends with its last answer.
+func (l *loop) beginDrain(left logic.Nanos) {
+	l.draining = true
+	l.lastAnswers = l.now + left - min(answerMargin, left/4)
+	l.heap.push(timer{at: l.lastAnswers, kind: drainEnd})
+	for _, cc := range l.doors.items {
+		if !cc.closed && cc.c != nil && cc.state == reading {
+			l.drainClient(cc)
+		}
+	}
+}
+
+// drainClient ends a connection on which nothing is owed, or has it looked at again.
+func (l *loop) drainClient(cc *clientConn) {
+	if cc.unread() && l.now < l.lastAnswers { // a request has just come: its answer costs its client less than another try
+		l.armClient(cc, l.now+logic.Millisecond)
+		return
+	}
+	if !cc.retire(endDrain) {
+		l.armClient(cc, l.now+2*logic.Millisecond)
+	}
+}
+
+// endDrain answers all that is still in hand, and ends what has not become a request by now.
+func (l *loop) endDrain() {
+	for _, c := range l.calls.items {
+		if !c.free && c.taken && !c.answered && !c.left {
+			l.queue(event{kind: evLeft, call: c})
+			l.answerVoid(c)
+			l.pump()
+		}
+	}
+	for _, cc := range l.doors.items {
+		if !cc.closed && cc.c != nil && cc.state == reading && !cc.retire(endDrain) {
+			cc.says.stop()
+		}
+	}
+}
+
+// inDrainTime tells whether a request that has just come whole can still be handed on.
+func (l *loop) inDrainTime() bool { return !l.draining || l.now < l.lastAnswers }
+
+// checkDrained tells whoever waits for it that no connection is left from which a request could be read.
+func (l *loop) checkDrained() {
+	if !l.draining || l.toldDrained || l.doors.used() > 0 || len(l.closing) > 0 || l.stats.carrying > 0 {
+		return
+	}
+	l.toldDrained = true
+	close(l.drained)
+}
+
 // sum asks each loop in turn and adds up what they say.
 func (p *Process) sum(ask func(l *loop) int64) int64 {
 	sum := int64(0)
@@ -35,42 +113,11 @@
 	return n
 }
 
-// drain has every loop answer what it holds, and gives how much was left when the time was up.
-func (p *Process) drain() int64 {
-	held := p.sum((*loop).beginDrain)
-	until := time.Now().Add(p.plan.DrainWithin)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for held > 0 && time.Now().Before(until) {
-		<-tick.C
-		held = p.sum((*loop).held)
+// logDrained tells how the drain ended.
+func (p *Process) logDrained(whole bool) {
+	write := p.log.Info
+	if !whole {
+		write = p.log.Error
 	}
-	return held
-}
-
-// linger is how long an idle connection stays open once a drain has begun. Danger: a request that was on its way when
-// its connection closed is lost without an answer; those that arrive within this time still get theirs.
-const linger = 100 * logic.Millisecond
-
-// beginDrain has every answer from now on be its connection's last, and what stays idle close.
-func (l *loop) beginDrain() int64 {
-	l.draining, l.drainAt = true, l.now
-	for _, cc := range l.doors.items {
-		if !cc.closed && cc.c != nil && cc.state == reading && cc.says.fresh() {
-			l.armClient(cc, l.now+linger)
-		}
-	}
-	return l.held()
-}
-
-// held counts the txns and streams that still owe their client something, answers not sent yet, and idle connections
-// that linger.
-func (l *loop) held() int64 {
-	n := l.stats.carrying
-	for _, cc := range l.doors.items {
-		if !cc.closed && cc.c != nil && (cc.call != nil && cc.call.taken || cc.state == onlyOut || l.now < l.drainAt+linger) {
-			n++
-		}
-	}
-	return n
+	write("stopping: drain ended", append(p.census().fields(), zap.Bool("whole", whole))...)
 }
--- a/edge/ending.go
+++ b/edge/ending.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"dunegrade/logic"
 )
 
 // endReason says why a client's connection ended.
@@ -113,10 +115,13 @@
 	return n
 }
 
-// idleReason gives the reason of ending a connection on which nothing is asked.
-func (l *loop) idleReason() endReason {
-	if l.draining {
-		return endDrain
+// endIdle ends a connection on which nothing was asked for too long, or gives when to look at it again.
+func (cc *clientConn) endIdle() (again logic.Nanos) {
+	if cc.unread() { // a request arrived at this moment
+		return cc.l.now + logic.Millisecond
+	}
+	if cc.retire(endIdle) {
+		return 0
 	}
-	return endIdle
+	return cc.l.now + 50*logic.Millisecond
 }
--- a/edge/live.go
+++ b/edge/live.go
@@ -40,5 +40,5 @@
 
 // canServe tells whether this edge knows enough to serve: the list of the moment, or after a while the one known before.
 func (l *loop) canServe() bool {
-	return l.p.listed.Load() || len(l.p.live.Known.Workers) > 0 && time.Since(l.p.began) > patientStart
+	return l.listed || len(l.p.live.Known.Workers) > 0 && time.Since(l.p.began) > patientStart
 }
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -113,7 +113,12 @@
 
 	connectTimeout, workerIdle logic.Nanos
 	draining, stopping         bool
-	drainAt                    logic.Nanos
+	lastAnswers                logic.Nanos   // in a drain: when what is in hand is answered at the latest
+	drained                    chan struct{} // closed when no request can be read any more
+	toldDrained                bool
+	closing                    []closingConn
+	closingArmed               bool
+	listed                     bool // the list of the moment has come
 	voting                     bool
 	stats                      stats
 	shown                      atomic.Pointer[stats] // for whoever asks; any goroutine
@@ -144,7 +149,7 @@
 	seed := int64(xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil,
 		uint64(p.plan.Seed)), uint64(number))) >> 1)
 	l := &loop{p: p, number: number, log: p.log.With(zap.Int("sentry", number)), rng: rand.New(rand.NewSource(seed)),
-		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1),
+		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1), drained: make(chan struct{}),
 		startsTold: p.live != nil, quit: make(chan struct{}), connectTimeout: logic.Nanos(p.plan.Workers.ConnectTimeout),
 		workerIdle: logic.Nanos(p.plan.Workers.Idle), reuse: reuse{upTo: logic.Nanos(p.plan.Workers.Idle), most: logic.Nanos(p.plan.Workers.Idle)}}
 	l.life = xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(p.plan.Name), uint64(p.epoch)), uint64(number)))
@@ -326,6 +331,7 @@
 // leave runs what is due and sets the alarm for what comes next; every call from gnet ends with it.
 func (l *loop) leave() {
 	l.due()
+	l.checkDrained()
 	l.depth--
 	if len(l.heap) == 0 {
 		return
@@ -393,6 +399,10 @@
 			cc.armed = 0
 			l.lookAtClient(cc)
 		}
+	case closingAt:
+		l.lookAtClosing()
+	case drainEnd:
+		l.endDrain()
 	case workerAt:
 		if wc := l.backOf(t.token); wc != nil {
 			wc.armed = 0
@@ -678,6 +688,7 @@
 	close(l.quit)
 	l.group.Wait() // dials and carriers come back to a loop that still runs
 	l.client.Stop()
+	l.closeAllClosing()
 	l.waker.Close()
 	if l.rec != nil {
 		l.rec.Close(l.p.clock())
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -83,6 +83,9 @@
 	l := cc.l
 	door := &l.p.plan.Door
 	switch {
+	case l.draining && d.partAt == 0 && d.asksAt == 0:
+		l.drainClient(cc)
+		return 0
 	case d.asksAt > 0:
 		d.asksAt = 0
 		cc.read()
@@ -107,16 +110,10 @@
 		if l.p.open.Load() > int64(door.Connections/2) {
 			patience = door.Spare
 		}
-		if until = cc.since + logic.Nanos(patience); until <= l.now || l.draining && l.now >= l.drainAt+linger {
-			if cc.unread() { // a request arrived at this moment
-				return l.now + logic.Millisecond
-			}
-			cc.close(false, l.idleReason())
-			return 0
-		}
-		if until = min(until, l.now+logic.Nanos(door.Spare)); l.draining {
-			until = l.drainAt + linger
+		if until = cc.since + logic.Nanos(patience); until <= l.now {
+			return cc.endIdle()
 		}
+		until = min(until, l.now+logic.Nanos(door.Spare))
 	}
 	return until
 }
@@ -128,9 +125,13 @@
 	cc.used(len(cc.input()))
 	l.scratch = pgwire.AppendError(l.scratch[:0], true, code, text, "")
 	cc.put(l.scratch)
-	cc.close(false, why)
+	cc.close(why)
 }
 
+const stopText = "the process stops: trying again elsewhere does no harm"
+
+func (d *pgFront) stop() { d.end(endDrain, "57P03", stopText) }
+
 func (d *pgFront) read(in []byte) bool {
 	cc := d.cc
 	l := cc.l
@@ -167,8 +168,12 @@
 		l.armClient(cc, l.now+logic.Nanos(l.p.plan.Door.Spare))
 	case pgwire.Leave:
 		cc.used(size)
-		cc.close(false, endByClient)
+		cc.close(endByClient)
 	case pgwire.Empty:
+		if !l.canServe() && l.draining {
+			d.stop()
+			return false
+		}
 		if !l.canServe() {
 			d.asksAt = l.now
 			l.armClient(cc, l.now+5*logic.Millisecond)
@@ -206,6 +211,12 @@
 		d.error("53300", "declined: too many are open", "")
 		return
 	}
+	if !l.inDrainTime() {
+		l.stats.atDoor++
+		cc.used(size)
+		d.error("57P03", stopText, "")
+		return
+	}
 	d.begins(size, text, &a, true)
 }
 
@@ -213,7 +224,7 @@
 func (d *pgFront) behind(size int, text []byte) bool {
 	l := d.cc.l
 	var a Asked
-	if d.s.dialect.Read(text, &a) != nil || l.calls.used() >= l.p.plan.Door.Open {
+	if d.s.dialect.Read(text, &a) != nil || l.calls.used() >= l.p.plan.Door.Open || !l.inDrainTime() {
 		return false
 	}
 	if _, open := l.outers[a.ID]; open {
@@ -307,22 +318,16 @@
 // stale looks at the socket itself. Danger: a second copy of an answer that has arrived and was not read yet would pass
 // for the next one.
 func (k *pgBack) stale() bool {
-	_, err := k.peek()
+	_, err := peekByte(k.wc.c.Fd())
 	return err != unix.EAGAIN
 }
 
-func (k *pgBack) peek() (n int, err error) {
-	var b [1]byte
-	n, _, err = unix.Recvfrom(k.wc.c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return n, err
-}
-
 // began tells whether a part of an answer has come, be it unread.
 func (k *pgBack) began() bool {
 	if k.from.Began() || k.wc.c.InboundBuffered() > 0 {
 		return true
 	}
-	n, err := k.peek()
+	n, err := peekByte(k.wc.c.Fd())
 	return err == nil && n > 0
 }
 
--- a/edge/process.go
+++ b/edge/process.go
@@ -155,18 +155,13 @@
 	}
 	<-ctx.Done()
 	began := time.Now()
+	deadline := began.Add(p.plan.KeepOpen + p.plan.DrainWithin)
 	p.log.Info("stopping: still accepting", zap.Int64("open", p.open.Load()), zap.Duration("for", p.plan.KeepOpen))
 	time.Sleep(p.plan.KeepOpen) // clients still come for as long
-	// Danger: connections that the kernel has accepted and we have not would be reset. So all that is there is taken first.
-	if l, ok := p.listener.(*net.TCPListener); ok {
-		l.SetDeadline(time.Now().Add(lastAccepts))
-		accepting.Wait()
-	}
-	p.listener.Close()
-	accepting.Wait()
+	p.endAccepting(&accepting)
 	p.log.Info("stopping: listener closed", p.census().fields()...)
-	held := p.drain()
-	p.log.Info("stopping: drain ended", append(p.census().fields(), zap.Int64("held", held))...)
+	whole := p.drain(deadline)
+	p.logDrained(whole)
 	if admin != nil {
 		admin.Close()
 	}
@@ -174,10 +169,10 @@
 	group.Wait()
 	p.stopLoops()
 	p.lastSave()
-	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Int64("cut", held),
-		zap.Uint64("owed", p.owed()))
-	if held > 0 {
-		return fmt.Errorf("drain: %d txns or streams were still open after %v", held, p.plan.DrainWithin)
+	owed := p.owed()
+	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Uint64("owed", owed))
+	if !whole {
+		return fmt.Errorf("drain: not through after %v, %d requests were still owed", p.plan.KeepOpen+p.plan.DrainWithin, owed)
 	}
 	return nil
 }
@@ -191,51 +186,6 @@
 	}
 }
 
-// lastAccepts is how long the last connections that wait to be accepted are looked for.
-const lastAccepts = 20 * time.Millisecond
-
-// accept hands each new connection to the loop that has fewest.
-func (p *Process) accept() {
-	failed := 0 // in a row
-	for {
-		c, err := p.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				return
-			}
-			// Out of descriptors, most likely: going on at once would spin, and a line for each would fill the disk.
-			if failed++; failed == 1 {
-				p.log.Warn("accept failed", zap.Error(err))
-			}
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		if failed > 0 {
-			p.log.Info("accepts again", zap.Int("failed", failed))
-			failed = 0
-		}
-		if over := p.open.Load() - int64(p.plan.Door.Connections); over >= int64(p.plan.Door.Shed) {
-			c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-			continue
-		} else if over >= 0 {
-			p.loops[0].post(p.loops[0].shed)
-		}
-		best := p.loops[0]
-		for _, l := range p.loops[1:] {
-			if l.clients.Load() < best.clients.Load() {
-				best = l
-			}
-		}
-		p.open.Add(1)
-		best.clients.Add(1)
-		if _, err := best.client.EnrollContext(c, &door{}); err != nil {
-			p.open.Add(-1)
-			best.clients.Add(-1)
-		}
-	}
-}
-
 // wakePair gives two ends of a pipe for waking a loop: ours to write, and the loop's.
 func wakePair() (ours, theirs net.Conn, err error) {
 	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
@@ -332,6 +282,7 @@
 		}
 	}
 	l.heard = true
+	l.listed = l.listed || mode != logic.Restored
 	l.tellList(mode, list)
 	for id, pool := range l.pools {
 		if pool.gone {
--- a/edge/timers.go
+++ b/edge/timers.go
@@ -6,13 +6,15 @@
 type timerKind uint8
 
 const (
-	remind   timerKind = iota // the module's, by its token
-	expiry                    // a call's patience is over
-	last                      // shortly before that
-	subEnd                    // a submission's time-out
-	connWait                  // a submission waits for a connection
-	clientAt                  // something about a client's connection is to be looked at
-	workerAt                  // the same for a worker's
+	remind    timerKind = iota // the module's, by its token
+	expiry                     // a call's patience is over
+	last                       // shortly before that
+	subEnd                     // a submission's time-out
+	connWait                   // a submission waits for a connection
+	clientAt                   // something about a client's connection is to be looked at
+	workerAt                   // the same for a worker's
+	closingAt                  // connections that deliver their last answer are to be looked at
+	drainEnd                   // what is still in hand in a drain is answered
 )
 
 // timer is an entry of the heap. It is never taken back: whoever it wakes checks whether it still matters.
--- a/edge/worker_http.go
+++ b/edge/worker_http.go
@@ -159,6 +159,7 @@
 		}
 		if c.client != nil && !c.answered && (!c.keep || l.draining) {
 			k.buf = append(k.buf, "Connection: close\r\n"...)
+			c.closes = true
 		} else if c.minor == 0 && c.keep {
 			k.buf = append(k.buf, "Connection: keep-alive\r\n"...)
 		}
@@ -218,6 +219,7 @@
 				out = append(out, "\r\n"...)
 				if !c.keep || l.draining {
 					out = append(out, "Connection: close\r\n"...)
+					c.closes = true
 				}
 				out = append(out, "\r\n"...)
 				out = append(out, k.body...)
