Requests behind an answer are answered or told in a drain, whichever attempt's answer won

Cause: whether an answer told its client that the connection ends was kept for each request, while two attempts' heads may differ (edge/worker_http.go, found by a flake of the new flood test under -race: the second attempt's head said so, the first one's answer was sent, and what was pipelined behind it was dropped). A flood's dropped requests ended with no word where the answer before had not said so.

Change: it is kept for each attempt and taken from the one that answers, also by streamed answers. What is dropped of a flood is told behind the last answer. The end of a drain is an instant of the process's clock, not a span from when the loop hears of it.

--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -55,10 +55,11 @@
 		l.ended(c, n, logic.Broken, nil)
 		return true
 	}
-	k := &carrier{l: l, call: c, n: n, pool: wc.pool, state: b.state, left: b.left, chunks: b.chunks, keep: c.keep && !l.draining,
+	k := &carrier{l: l, call: c, n: n, pool: wc.pool, state: b.state, left: b.left, chunks: b.chunks, keep: !b.closes,
 		shut: b.shut || b.state == inOpen, load: wc.load, loaded: wc.loaded}
 	k.first = append([]byte(nil), b.buf...)
 	if b.state != inFixed {
+		k.keep = c.keep && !l.draining
 		if c.minor == 1 {
 			k.chunked = true
 			k.first = append(k.first, "Transfer-Encoding: chunked\r\n"...)
--- a/edge/client.go
+++ b/edge/client.go
@@ -21,29 +21,30 @@
 
 // clientConn is one connection of a client.
 type clientConn struct {
-	l       *loop
-	c       gnet.Conn
-	at      int32
-	gen     uint32
-	serial  uint64 // of the connection in this sentry's life
-	state   doorState
-	closed  bool
-	says    frontSpeech
-	call    *call   // that is being read, or is in hand: the one whose answer is next
-	behind  []queue // what was taken behind it, in order
-	last    bool    // nothing more is taken, and after the last answer the connection ends
-	early   []byte
-	opened  logic.Nanos
-	since   logic.Nanos // when this state began
-	armed   logic.Nanos // when it will be looked at; 0: not
-	served  uint64
-	unsent  int // bytes not sent when last looked at
-	unsentN logic.Nanos
-	holds   int       // bytes that came and were not used yet
-	came    int64     // bytes that came in all, and
-	usedUp  int64     // those that were used
-	marks   []mark    // when those that were not used came, oldest first
-	ends    endReason // where the last answer leaves: why the connection ends then
+	l        *loop
+	c        gnet.Conn
+	at       int32
+	gen      uint32
+	serial   uint64 // of the connection in this sentry's life
+	state    doorState
+	closed   bool
+	says     frontSpeech
+	call     *call   // that is being read, or is in hand: the one whose answer is next
+	behind   []queue // what was taken behind it, in order
+	last     bool    // nothing more is taken, and after the last answer the connection ends
+	overfull bool    // more was sent ahead of its answers than is kept
+	early    []byte
+	opened   logic.Nanos
+	since    logic.Nanos // when this state began
+	armed    logic.Nanos // when it will be looked at; 0: not
+	served   uint64
+	unsent   int // bytes not sent when last looked at
+	unsentN  logic.Nanos
+	holds    int       // bytes that came and were not used yet
+	came     int64     // bytes that came in all, and
+	usedUp   int64     // those that were used
+	marks    []mark    // when those that were not used came, oldest first
+	ends     endReason // where the last answer leaves: why the connection ends then
 }
 
 // queue is a txn taken behind others of its connection. Its answer waits for its turn.
@@ -254,7 +255,7 @@
 		}
 		l.stats.overfull++
 		if most.call != nil && most.call.taken { // its answer is owed; what it sent behind that is not looked at
-			most.last, most.call.keep = true, false
+			most.last, most.overfull, most.call.keep = true, true, false
 			most.used(len(most.input()))
 			l.holding -= most.holds
 			most.holds = 0
@@ -320,7 +321,7 @@
 		// memory. Past the limit its further requests are dropped, and the connection after its answer.
 		if len(in) > l.p.plan.Door.Pipeline || cc.state == onlyOut {
 			cc.used(len(in))
-			cc.last = true
+			cc.last, cc.overfull = true, cc.state != onlyOut
 			if cc.call != nil {
 				cc.call.keep = false
 			}
@@ -405,7 +406,8 @@
 // answered ends the txn in hand for its client, and sends the answers that waited for it.
 func (cc *clientConn) answered() {
 	l, c := cc.l, cc.call
-	cc.last = cc.last || !c.keep || c.closes
+	closes := c.closes
+	cc.last = cc.last || !c.keep || closes
 	c.answered, c.client, cc.call = true, nil, nil
 	cc.served++
 	l.drop(c)
@@ -427,6 +429,10 @@
 		l.resume = append(l.resume, cc)
 		return
 	}
+	if cc.overfull && !closes { // what came behind this answer was thrown away, and is told so
+		cc.says.stop(endOverfull)
+		return
+	}
 	if cc.last {
 		cc.close(endAnswered)
 		return
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -85,7 +85,13 @@
 	return until
 }
 
-func (d *httpFront) stop() { d.cc.l.refuse(d.cc, 503, "the process stops") }
+func (d *httpFront) stop(why endReason) {
+	text := "the process stops"
+	if why == endOverfull {
+		text = "too much was sent ahead of its answers"
+	}
+	d.cc.l.refuse(d.cc, 503, text)
+}
 
 func (d *httpFront) read(in []byte) bool {
 	cc := d.cc
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -17,9 +17,9 @@
 
 // drain has every loop answer what it holds and end its connections, until a deadline at the latest. It tells whether all was done.
 func (p *Process) drain(deadline time.Time) bool {
-	left := logic.Nanos(time.Until(deadline))
+	end := p.clock() + logic.Nanos(time.Until(deadline))
 	for _, l := range p.loops {
-		l.post(func() { l.beginDrain(left) })
+		l.post(func() { l.beginDrain(end) })
 	}
 	late := time.NewTimer(time.Until(deadline))
 	defer late.Stop()
@@ -34,9 +34,9 @@
 }
 
 // beginDrain ends the connections that owe nothing. Each other one ends with its last answer.
-func (l *loop) beginDrain(left logic.Nanos) {
+func (l *loop) beginDrain(end logic.Nanos) {
 	l.draining = true
-	l.lastAnswers = l.now + left - min(answerMargin, left/4)
+	l.lastAnswers = end - min(answerMargin, (end-l.now)/4)
 	l.heap.push(timer{at: l.lastAnswers, kind: drainEnd})
 	for _, cc := range l.doors.items {
 		if !cc.closed && cc.c != nil && cc.state == reading {
@@ -67,7 +67,7 @@
 	}
 	for _, cc := range l.doors.items {
 		if !cc.closed && cc.c != nil && cc.state == reading && !cc.retire(endDrain) {
-			cc.says.stop()
+			cc.says.stop(endDrain)
 		}
 	}
 }
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -130,7 +130,13 @@
 
 const stopText = "the process stops: trying again elsewhere does no harm"
 
-func (d *pgFront) stop() { d.end(endDrain, "57P03", stopText) }
+func (d *pgFront) stop(why endReason) {
+	if why == endOverfull {
+		d.end(why, "53300", "declined: too much was sent ahead of its answers")
+		return
+	}
+	d.end(why, "57P03", stopText)
+}
 
 func (d *pgFront) read(in []byte) bool {
 	cc := d.cc
@@ -171,7 +177,7 @@
 		cc.close(endByClient)
 	case pgwire.Empty:
 		if !l.canServe() && l.draining {
-			d.stop()
+			d.stop(endDrain)
 			return false
 		}
 		if !l.canServe() {
--- a/edge/seam.go
+++ b/edge/seam.go
@@ -22,8 +22,8 @@
 	// fresh tells whether nothing of a request has come, and begin that the next one may.
 	fresh() bool
 	begin()
-	// stop ends a connection in the middle of a message, as the process stops.
-	stop()
+	// stop ends a connection in the middle of what was sent on it, and tells the client so.
+	stop(why endReason)
 	// ahead tells whether read takes txns behind one that is in hand.
 	ahead() bool
 	// declined and voided answer a txn that is in hand.
--- a/edge/worker_http.go
+++ b/edge/worker_http.go
@@ -27,6 +27,7 @@
 	state  httpState
 	status int
 	shut   bool   // the worker closes after this answer
+	closes bool   // the answer says that the client's connection ends with it
 	buf    []byte // the answer's head as the client gets it; with a known length, its body as well
 	body   []byte // a body whose length is not known yet
 	left   int64
@@ -36,7 +37,7 @@
 func (k *httpBack) opened() { k.wc.l.ready(k.wc) }
 
 func (k *httpBack) ask(c *call, n int) error {
-	k.state, k.buf, k.body = atHead, k.buf[:0], k.body[:0]
+	k.state, k.buf, k.body, k.closes = atHead, k.buf[:0], k.body[:0], false
 	k.wc.l.stats.bytesOut += uint64(len(c.request))
 	_, err := k.wc.c.Write(c.request)
 	return err
@@ -159,7 +160,7 @@
 		}
 		if c.client != nil && !c.answered && (!c.keep || l.draining) {
 			k.buf = append(k.buf, "Connection: close\r\n"...)
-			c.closes = true
+			k.closes = true
 		} else if c.minor == 0 && c.keep {
 			k.buf = append(k.buf, "Connection: keep-alive\r\n"...)
 		}
@@ -219,13 +220,14 @@
 				out = append(out, "\r\n"...)
 				if !c.keep || l.draining {
 					out = append(out, "Connection: close\r\n"...)
-					c.closes = true
+					k.closes = true
 				}
 				out = append(out, "\r\n"...)
 				out = append(out, k.body...)
 			}
 			k.buf = out
 		}
+		c.closes = k.closes // that of the attempt that answers: another's head may have been written earlier or later
 	}
 	l.complete(wc, e, out, shut)
 }
