The process by job: lists, kept list, peers, admin, accepting; standard names for protocols

Cause: process.go held seven jobs in 831 lines; speech, says, doors and backs hid standard terms in code that the repair touched.

Change: files news, kept_list, peers, admin, accept, drain, closing, ending; clientProtocol and workerProtocol for the speeches, clientConns and workerConns for doors and backs.

--- a/edge/accept.go
+++ b/edge/accept.go
@@ -56,7 +56,7 @@
 	}
 	p.open.Add(1)
 	best.clients.Add(1)
-	if _, err := best.client.EnrollContext(c, &door{}); err != nil {
+	if _, err := best.client.EnrollContext(c, &accepted{}); err != nil {
 		p.open.Add(-1)
 		best.clients.Add(-1)
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -186,7 +186,7 @@
 			l.armWorker(wc, wc.since+logic.Nanos(l.p.plan.Workers.Rest))
 			continue // Danger: what a worker sends behind an answer would pass for the next one
 		}
-		if wc.says.stale() {
+		if wc.protocol.stale() {
 			l.stats.stale++
 			l.closeWorker(wc, true)
 			continue
@@ -224,7 +224,7 @@
 // spareOne ends the connection of another pool that has been idle for longest, and tells whether there was one.
 func (l *loop) spareOne(but *pool) bool {
 	var best *workerConn
-	for _, wc := range l.backs.items {
+	for _, wc := range l.workerConns.items {
 		if !wc.closed && wc.pool != nil && wc.pool != but && wc.call == nil && !wc.greets &&
 			(best == nil || wc.since < best.since) {
 			best = wc
@@ -332,7 +332,7 @@
 	}
 	wc.used++
 	l.stats.sent++
-	if err := wc.says.ask(c, n); err != nil && !wc.closed {
+	if err := wc.protocol.ask(c, n); err != nil && !wc.closed {
 		l.closeWorker(wc, true)
 		l.ended(c, n, logic.Broken, nil)
 	}
@@ -393,9 +393,9 @@
 		}
 		l.ended(c, n, e, nil)
 	case subSent:
-		if s.conn.says.unsent() { // what never left this host whole cannot have run
+		if s.conn.protocol.unsent() { // what never left this host whole cannot have run
 			e = logic.ConnectFailed
-		} else if e == logic.Cancelled && s.conn.says.halfClose() {
+		} else if e == logic.Cancelled && s.conn.protocol.halfClose() {
 			l.giveUp(s)
 			return
 		}
@@ -410,7 +410,7 @@
 // cut ends a submission with its connection. Danger: one whose answer had begun has run, and counts as answered.
 func (l *loop) cut(wc *workerConn, e logic.Ending) {
 	c, n := wc.call, wc.n
-	if (e == logic.TimedOut || e == logic.Cancelled) && wc.says.began() {
+	if (e == logic.TimedOut || e == logic.Cancelled) && wc.protocol.began() {
 		e = logic.Spoilt
 	}
 	l.closeWorker(wc, true)
@@ -431,7 +431,7 @@
 // lastCall gives up what is out of a call so shortly before its expiry that what crosses is still heard.
 func (l *loop) lastCall(c *call) {
 	for n := 0; n < c.n; n++ {
-		if s := &c.subs[n]; s.state == subSent && !s.conn.says.unsent() && s.conn.says.halfClose() {
+		if s := &c.subs[n]; s.state == subSent && !s.conn.protocol.unsent() && s.conn.protocol.halfClose() {
 			l.giveUp(s)
 		}
 	}
--- a/edge/carrier.go
+++ b/edge/carrier.go
@@ -102,7 +102,7 @@
 	l.holding -= cc.holds
 	cc.closed, cc.c, cc.holds = true, nil, 0
 	cc.gen++
-	l.doors.give(cc.at)
+	l.clientConns.give(cc.at)
 	l.el.Close(gc)
 	wc.call = nil
 	l.closeWorker(wc, false)
@@ -156,7 +156,7 @@
 		k.worker.Close()
 	}
 	if clean && k.keep {
-		if _, err := l.client.EnrollContext(k.client, &door{early: k.ahead}); err != nil {
+		if _, err := l.client.EnrollContext(k.client, &accepted{early: k.ahead}); err != nil {
 			k.client.Close()
 			l.clients.Add(-1)
 			l.p.open.Add(-1)
--- a/edge/client.go
+++ b/edge/client.go
@@ -6,17 +6,17 @@
 	"dunegrade/logic"
 )
 
-// door is what the acceptor hands over with a connection: bytes that were read before, where it comes back
+// accepted is what the acceptor hands over with a connection: bytes that were read before, where it comes back
 // from a carrier.
-type door struct{ early []byte }
+type accepted struct{ early []byte }
 
-// doorState is what a client's connection waits for.
-type doorState uint8
+// clientState is what a client's connection waits for.
+type clientState uint8
 
 const (
-	reading doorState = iota // a request, or waiting for one
-	inHand                   // the txn's answer
-	onlyOut                  // the last answer leaves, then the connection closes
+	reading clientState = iota // a request, or waiting for one
+	inHand                     // the txn's answer
+	onlyOut                    // the last answer leaves, then the connection closes
 )
 
 // clientConn is one connection of a client.
@@ -26,9 +26,9 @@
 	at       int32
 	gen      uint32
 	serial   uint64 // of the connection in this sentry's life
-	state    doorState
+	state    clientState
 	closed   bool
-	says     frontSpeech
+	protocol clientProtocol
 	call     *call   // that is being read, or is in hand: the one whose answer is next
 	behind   []queue // what was taken behind it, in order
 	last     bool    // nothing more is taken, and after the last answer the connection ends
@@ -100,22 +100,22 @@
 	return !cc.closed && !cc.last && cc.call != nil && cc.call.taken && len(cc.behind) < aheadMost && int64(held) < cc.l.p.plan.Door.Unsent
 }
 
-func (l *loop) doorOf(token uint64) *clientConn {
+func (l *loop) clientOf(token uint64) *clientConn {
 	at := int32(uint32(token))
-	if int(at) >= len(l.doors.items) {
+	if int(at) >= len(l.clientConns.items) {
 		return nil
 	}
-	if cc := l.doors.items[at]; cc.gen == uint32(token>>32) && !cc.closed {
+	if cc := l.clientConns.items[at]; cc.gen == uint32(token>>32) && !cc.closed {
 		return cc
 	}
 	return nil
 }
 
-func (l *loop) openClient(c gnet.Conn, d *door) {
-	at, cc := l.doors.take()
-	was, behind, marks := cc.says, cc.behind[:0], cc.marks[:0]
+func (l *loop) openClient(c gnet.Conn, d *accepted) {
+	at, cc := l.clientConns.take()
+	was, behind, marks := cc.protocol, cc.behind[:0], cc.marks[:0]
 	*cc = clientConn{behind: behind, marks: marks, l: l, c: c, at: at, gen: cc.gen + 1, opened: l.now, since: l.now, early: d.early}
-	cc.says = l.p.speech.front(cc, was)
+	cc.protocol = l.p.protocol.front(cc, was)
 	c.SetContext(cc)
 	l.stats.clients++
 	cc.serial = l.stats.clients
@@ -143,7 +143,7 @@
 	until := logic.Nanos(0)
 	switch cc.state {
 	case reading:
-		if until = cc.says.waits(); cc.closed || until == 0 && cc.state == reading {
+		if until = cc.protocol.waits(); cc.closed || until == 0 && cc.state == reading {
 			return
 		}
 	case inHand:
@@ -177,8 +177,8 @@
 		return
 	}
 	var best *clientConn
-	for _, cc := range l.doors.items {
-		if cc.closed || cc.c == nil || cc.state != reading || !cc.says.fresh() || l.now-cc.since < newcomer ||
+	for _, cc := range l.clientConns.items {
+		if cc.closed || cc.c == nil || cc.state != reading || !cc.protocol.fresh() || l.now-cc.since < newcomer ||
 			cc.served > 0 && l.now-cc.since < logic.Nanos(l.p.plan.Door.Spare) {
 			continue
 		}
@@ -215,7 +215,7 @@
 	l.holding -= cc.holds
 	cc.c, cc.early, cc.holds = nil, nil, 0
 	cc.gen++
-	l.doors.give(cc.at)
+	l.clientConns.give(cc.at)
 }
 
 // leaves books that a txn's client has gone.
@@ -248,7 +248,7 @@
 	bound := l.p.plan.Door.Holding
 	for bound > 0 && l.holding > bound {
 		most := cc
-		for _, other := range l.doors.items {
+		for _, other := range l.clientConns.items {
 			if !other.closed && other.c != nil && other.holds > most.holds {
 				most = other
 			}
@@ -311,8 +311,8 @@
 	l := cc.l
 	for !cc.closed {
 		in := cc.input()
-		if cc.state == reading || cc.state == inHand && cc.says.ahead() && cc.mayTakeAhead() {
-			if len(in) == 0 || !cc.says.read(in) {
+		if cc.state == reading || cc.state == inHand && cc.protocol.ahead() && cc.mayTakeAhead() {
+			if len(in) == 0 || !cc.protocol.read(in) {
 				return
 			}
 			continue
@@ -430,7 +430,7 @@
 		return
 	}
 	if cc.overfull && !closes { // what came behind this answer was thrown away, and is told so
-		cc.says.stop(endOverfull)
+		cc.protocol.stop(endOverfull)
 		return
 	}
 	if cc.last {
@@ -438,7 +438,7 @@
 		return
 	}
 	cc.state, cc.since = reading, l.now
-	cc.says.begin()
+	cc.protocol.begin()
 	if l.draining && len(cc.input()) == 0 {
 		l.drainClient(cc)
 		return
@@ -453,7 +453,7 @@
 	}
 	l.stats.declined++
 	cc := c.client
-	cc.says.declined(c, after)
+	cc.protocol.declined(c, after)
 	if !cc.closed {
 		cc.finish(c)
 	}
@@ -466,7 +466,7 @@
 	}
 	l.stats.voided++
 	cc := c.client
-	cc.says.voided(c)
+	cc.protocol.voided(c)
 	if !cc.closed {
 		cc.finish(c)
 	}
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -13,10 +13,10 @@
 	"dunegrade/trace"
 )
 
-// httpSpeech is HTTP/1.1 behind the seam.
-type httpSpeech struct{}
+// httpProtocol is HTTP/1.1 behind the seam.
+type httpProtocol struct{}
 
-func (httpSpeech) front(cc *clientConn, was frontSpeech) frontSpeech {
+func (httpProtocol) front(cc *clientConn, was clientProtocol) clientProtocol {
 	d, ok := was.(*httpFront)
 	if !ok {
 		d = &httpFront{}
@@ -25,7 +25,7 @@
 	return d
 }
 
-func (httpSpeech) back(wc *workerConn, was backSpeech) backSpeech {
+func (httpProtocol) back(wc *workerConn, was workerProtocol) workerProtocol {
 	k, ok := was.(*httpBack)
 	if !ok {
 		k = &httpBack{}
--- a/edge/closing.go
+++ b/edge/closing.go
@@ -76,7 +76,7 @@
 //
 // Nothing is read between the look at what has come in and the end, as both happen on the loop that reads.
 func (cc *clientConn) retire(why endReason) bool {
-	return cc.state == reading && cc.call == nil && cc.says.fresh() && len(cc.input()) == 0 && cc.leave(why)
+	return cc.state == reading && cc.call == nil && cc.protocol.fresh() && len(cc.input()) == 0 && cc.leave(why)
 }
 
 func (l *loop) lookAtClosingSoon() {
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -38,7 +38,7 @@
 	l.draining = true
 	l.lastAnswers = end - min(answerMargin, (end-l.now)/4)
 	l.heap.push(timer{at: l.lastAnswers, kind: drainEnd})
-	for _, cc := range l.doors.items {
+	for _, cc := range l.clientConns.items {
 		if !cc.closed && cc.c != nil && cc.state == reading {
 			l.drainClient(cc)
 		}
@@ -65,9 +65,9 @@
 			l.pump()
 		}
 	}
-	for _, cc := range l.doors.items {
+	for _, cc := range l.clientConns.items {
 		if !cc.closed && cc.c != nil && cc.state == reading && !cc.retire(endDrain) {
-			cc.says.stop(endDrain)
+			cc.protocol.stop(endDrain)
 		}
 	}
 }
@@ -77,7 +77,7 @@
 
 // checkDrained tells whoever waits for it that no connection is left from which a request could be read.
 func (l *loop) checkDrained() {
-	if !l.draining || l.toldDrained || l.doors.used() > 0 || len(l.closing) > 0 || l.stats.carrying > 0 {
+	if !l.draining || l.toldDrained || l.clientConns.used() > 0 || len(l.closing) > 0 || l.stats.carrying > 0 {
 		return
 	}
 	l.toldDrained = true
--- a/edge/ending.go
+++ b/edge/ending.go
@@ -37,7 +37,7 @@
 
 var stateNames = [...]string{reading: "reading", inHand: "in-hand", onlyOut: "flushing"}
 
-func (s doorState) String() string { return stateNames[s] }
+func (s clientState) String() string { return stateNames[s] }
 
 // reasonOf gives the reason of an end that the event loop tells.
 func (l *loop) reasonOf(err error) endReason {
@@ -97,14 +97,14 @@
 // census counts the loop's connections by how they stand.
 func (l *loop) census() census {
 	n := census{carried: l.stats.carrying}
-	for _, cc := range l.doors.items {
+	for _, cc := range l.clientConns.items {
 		switch {
 		case cc.closed || cc.c == nil:
 		case cc.call != nil && cc.call.taken:
 			n.inHand++
 		case cc.state == onlyOut || cc.c.OutboundBuffered() > 0:
 			n.unsent++
-		case !cc.says.fresh() || cc.call != nil:
+		case !cc.protocol.fresh() || cc.call != nil:
 			n.partial++
 		case cc.served == 0:
 			n.silent++
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -617,7 +617,7 @@
 	held := 0
 	done = make(chan struct{})
 	l.post(func() {
-		for _, cc := range l.doors.items {
+		for _, cc := range l.clientConns.items {
 			if !cc.closed && cc.c != nil {
 				held += cc.c.InboundBuffered() + len(cc.early)
 			}
--- /dev/null
+++ b/edge/kept_list.go
@@ -0,0 +1,177 @@
+package edge
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"dunegrade/api"
+	"dunegrade/logic"
+
+	"go.uber.org/zap"
+)
+
+// saveSoon writes what is to outlive a restart; a storm of changes is written once.
+func (p *Process) saveSoon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.saving == nil && !p.closed && p.plan.State != "" {
+		p.saving = time.AfterFunc(100*time.Millisecond, func() { p.save(false) }) // of no effect after lastSave
+	}
+}
+
+// lastSave writes what is kept at the end of the process, and lets nothing be written after.
+func (p *Process) lastSave() {
+	p.mu.Lock()
+	p.closed = true
+	if p.saving != nil {
+		p.saving.Stop()
+	}
+	p.mu.Unlock()
+	p.save(true)
+}
+
+// keptList is the file of the last list.
+type keptList struct {
+	Version int          `json:"version"`
+	Saved   int64        `json:"saved"`           // by this host's clock
+	Clock   int64        `json:"clock,omitempty"` // the platform's at that moment: starts are told by it
+	Workers []api.Worker `json:"workers"`
+	Release api.Release  `json:"release"`
+}
+
+// check gives what no list can hold.
+func (k *keptList) check() error {
+	if k.Version != 1 {
+		return fmt.Errorf("version: found %d, wanted 1", k.Version)
+	}
+	seen := map[string]bool{}
+	for i := range k.Workers {
+		w := &k.Workers[i]
+		if err := w.Check(); err != nil {
+			return fmt.Errorf("entry %d: %w", i+1, err)
+		}
+		if seen[w.ID] {
+			return fmt.Errorf("entry %d: found a second worker %q, wanted ids that differ", i+1, w.ID)
+		}
+		seen[w.ID] = true
+	}
+	if k.Release == (api.Release{}) { // none had been told
+		return nil
+	}
+	return k.Release.Check()
+}
+
+func (p *Process) statePath() string { return filepath.Join(p.plan.State, p.plan.Name+".list.json") }
+
+// save writes the last list beside its place and moves it there, so that a crash leaves the old one or the new.
+func (p *Process) save(last bool) {
+	p.disk.Lock() // Danger: two writers of one file would leave a mixture of both
+	defer p.disk.Unlock()
+	p.mu.Lock()
+	if p.saving = nil; p.closed && !last {
+		p.mu.Unlock()
+		return
+	}
+	now := time.Now().UnixNano()
+	k := keptList{Version: 1, Saved: now, Clock: now + p.ahead, Release: p.newest}
+	for _, w := range p.kept {
+		k.Workers = append(k.Workers, w)
+	}
+	p.mu.Unlock()
+	if p.plan.State == "" || len(k.Workers) == 0 {
+		return
+	}
+	slices.SortFunc(k.Workers, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	data, err := json.Marshal(k)
+	if err == nil {
+		err = replaceFile(p.statePath(), data)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failed := err != nil
+	if failed && !p.closed && p.saving == nil { // Danger: else the next start would not know of it until something else changes
+		p.saving = time.AfterFunc(time.Second, func() { p.save(false) })
+	}
+	if failed == p.unkept {
+		return
+	}
+	if p.unkept = failed; failed {
+		p.log.Warn("the last list could not be kept", zap.Error(err))
+	} else {
+		p.log.Info("the last list is kept again", zap.Int("workers", len(k.Workers)))
+	}
+}
+
+// replaceFile puts data in a file's place. Danger: what is moved before it is on the disk is empty after a power cut.
+func replaceFile(path string, data []byte) error {
+	f, err := os.Create(path + ".new")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	return err
+}
+
+// restore reads the last list, as an event with the platform's clock as it should be by now. One that is malformed is
+// named and not used.
+func (p *Process) restore() (list *api.WorkersEvent, news *logic.News) {
+	if p.plan.State == "" {
+		return nil, nil
+	}
+	if err := os.MkdirAll(p.plan.State, 0o755); err != nil {
+		p.log.Warn("no folder for state", zap.Error(err))
+		return nil, nil
+	}
+	data, err := os.ReadFile(p.statePath())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	var k keptList
+	if err == nil {
+		err = json.Unmarshal(data, &k)
+	}
+	if err == nil {
+		err = k.check()
+	}
+	if err != nil {
+		p.log.Warn("the kept list is refused", zap.String("file", p.statePath()), zap.Error(err))
+		return nil, nil
+	}
+	now := time.Now().UnixNano()
+	age := max(0, now-k.Saved)
+	list = &api.WorkersEvent{Type: api.Whole, Now: now, Workers: k.Workers}
+	if k.Clock != 0 {
+		list.Now = k.Clock + age
+	}
+	p.ahead = list.Now - now
+	for _, w := range k.Workers {
+		p.kept[w.ID] = w
+	}
+	p.log.Info("last list restored", zap.Int("workers", len(k.Workers)), zap.Duration("age", time.Duration(age)))
+	// What was released stays so till the platform says otherwise. A build on trial may have lost its cap meanwhile,
+	// so it gets nothing until then.
+	if k.Release != (api.Release{}) {
+		p.newest = k.Release
+		n := newsOf(api.ReleaseEvent{Release: k.Release}, false)
+		if n.Phase != logic.Released {
+			n.Cap = 0
+		}
+		news = &n
+	}
+	return list, news
+}
--- a/edge/live.go
+++ b/edge/live.go
@@ -21,7 +21,7 @@
 // NewLive makes an edge that speaks PostgreSQL's protocol with clients and workers. It listens when Run is called.
 func NewLive(plan *config.Edge, live *Live, log *zap.Logger) *Process {
 	p := newProcess(plan, log)
-	p.live, p.source, p.speech = live, live.Source, newPgSpeech(live.Dialect)
+	p.live, p.source, p.protocol = live, live.Source, newPgProtocol(live.Dialect)
 	for _, w := range live.Known.Workers {
 		p.kept[w.ID] = w
 	}
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math/rand"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,20 +86,20 @@
 	life   uint64          // drawn at the start
 	serial uint64          // of the last txn
 
-	calls      slab[call]
-	outers     map[uint64]struct{} // ids of the calls in hand, where clients give them
-	doors      slab[clientConn]
-	backs      slab[workerConn]
-	pools      map[logic.WorkerID]*pool
-	starts     map[logic.WorkerID]startOf
-	heard      bool // of a first list
-	startsTold bool // by the source, for each worker; 0: long past
-	dialing    int
-	reuse      reuse
-	conns      int     // to workers, open or being opened
-	starved    []*pool // that wait for one of them to end
-	holding    int     // bytes that came from clients and were not used yet
-	heap       timers
+	calls       slab[call]
+	outers      map[uint64]struct{} // ids of the calls in hand, where clients give them
+	clientConns slab[clientConn]
+	workerConns slab[workerConn]
+	pools       map[logic.WorkerID]*pool
+	starts      map[logic.WorkerID]startOf
+	heard       bool // of a first list
+	startsTold  bool // by the source, for each worker; 0: long past
+	dialing     int
+	reuse       reuse
+	conns       int     // to workers, open or being opened
+	starved     []*pool // that wait for one of them to end
+	holding     int     // bytes that came from clients and were not used yet
+	heap        timers
 
 	events  []event
 	acts    []act
@@ -301,6 +303,19 @@
 	l.waker.Write(oneByte)
 }
 
+// wakePair gives two ends of a pipe for waking a loop: ours to write, and the loop's.
+func wakePair() (ours, theirs net.Conn, err error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("socketpair: %w", err)
+	}
+	if ours, err = dup(fds[0], nil); err != nil {
+		return nil, nil, err
+	}
+	theirs, err = dup(fds[1], nil)
+	return ours, theirs, err
+}
+
 // alarm wakes the loop when its next timer is due. One a loop, ended by quit.
 func (l *loop) alarm() {
 	defer l.group.Done()
@@ -395,7 +410,7 @@
 			l.ended(c, int(t.n), logic.ConnectFailed, nil)
 		}
 	case clientAt:
-		if cc := l.doorOf(t.token); cc != nil {
+		if cc := l.clientOf(t.token); cc != nil {
 			cc.armed = 0
 			l.lookAtClient(cc)
 		}
@@ -404,7 +419,7 @@
 	case drainEnd:
 		l.endDrain()
 	case workerAt:
-		if wc := l.backOf(t.token); wc != nil {
+		if wc := l.workerOf(t.token); wc != nil {
 			wc.armed = 0
 			l.lookAtWorker(wc)
 		}
@@ -613,7 +628,7 @@
 func (l *loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	l.enter()
 	switch ctx := c.Context().(type) {
-	case *door:
+	case *accepted:
 		l.openClient(c, ctx)
 	case *pool:
 		l.openWorker(c, ctx)
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -32,20 +32,20 @@
 	Hello() (message []byte, gauge string)
 }
 
-// pgSpeech is PostgreSQL's protocol behind the seam.
-type pgSpeech struct {
+// pgProtocol is PostgreSQL's protocol behind the seam.
+type pgProtocol struct {
 	dialect Dialect
 	hello   []byte
 	gauge   string
 }
 
-func newPgSpeech(d Dialect) *pgSpeech {
-	s := &pgSpeech{dialect: d}
+func newPgProtocol(d Dialect) *pgProtocol {
+	s := &pgProtocol{dialect: d}
 	s.hello, s.gauge = d.Hello()
 	return s
 }
 
-func (s *pgSpeech) front(cc *clientConn, was frontSpeech) frontSpeech {
+func (s *pgProtocol) front(cc *clientConn, was clientProtocol) clientProtocol {
 	d, ok := was.(*pgFront)
 	if !ok {
 		d = &pgFront{}
@@ -54,7 +54,7 @@
 	return d
 }
 
-func (s *pgSpeech) back(wc *workerConn, was backSpeech) backSpeech {
+func (s *pgProtocol) back(wc *workerConn, was workerProtocol) workerProtocol {
 	k, ok := was.(*pgBack)
 	if !ok {
 		k = &pgBack{}
@@ -67,7 +67,7 @@
 // pgFront is a client's connection.
 type pgFront struct {
 	cc     *clientConn
-	s      *pgSpeech
+	s      *pgProtocol
 	from   pgwire.Front
 	partAt logic.Nanos // when a part of a message was first seen; 0: there is none
 	asksAt logic.Nanos // when it asked whether this edge can serve, which it could not; 0: it did not
@@ -294,7 +294,7 @@
 // pgBack is a connection to a worker.
 type pgBack struct {
 	wc      *workerConn
-	s       *pgSpeech
+	s       *pgProtocol
 	from    pgwire.Back
 	writing bool
 	begun   bool // the module has heard that an answer began
--- a/edge/seam.go
+++ b/edge/protocol.go
@@ -2,17 +2,17 @@
 
 import "dunegrade/logic"
 
-// speech is the seam that every protocol stands behind: how requests, answers and the host's own answers look as bytes.
-// A speech decides nothing about a txn; it tells the host what has come in whole, and writes what the host says.
-type speech interface {
+// protocol is the seam between host and wire: how requests, answers and the host's own answers look as bytes.
+// A protocol decides nothing about a txn; it tells the host what has come in whole, and writes what the host says.
+type protocol interface {
 	// front makes the client's side of a new connection; was is one of an ended connection, or nil.
-	front(cc *clientConn, was frontSpeech) frontSpeech
+	front(cc *clientConn, was clientProtocol) clientProtocol
 	// back makes the worker's side of a new connection; was is one of an ended connection, or nil.
-	back(wc *workerConn, was backSpeech) backSpeech
+	back(wc *workerConn, was workerProtocol) workerProtocol
 }
 
-// frontSpeech is one client's connection in a protocol.
-type frontSpeech interface {
+// clientProtocol is one client's connection in a protocol.
+type clientProtocol interface {
 	// read takes a part of what has come in, and tells whether there may be more to do. What is whole goes to
 	// clientConn.whole.
 	read(in []byte) bool
@@ -31,8 +31,8 @@
 	voided(c *call)
 }
 
-// backSpeech is one connection to a worker in a protocol.
-type backSpeech interface {
+// workerProtocol is one connection to a worker in a protocol.
+type workerProtocol interface {
 	// opened is told that the connection stands. It calls loop.ready, now or once a greeting is through.
 	opened()
 	// ask writes submission n of a call.
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -27,7 +27,7 @@
 // show copies the counts for whoever asks.
 func (l *loop) show() {
 	s := l.stats
-	s.open, s.inHand, s.toWorkers = l.clients.Load(), int64(l.calls.used()), int64(l.backs.used())
+	s.open, s.inHand, s.toWorkers = l.clients.Load(), int64(l.calls.used()), int64(l.workerConns.used())
 	l.shown.Store(&s)
 }
 
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -13,32 +13,32 @@
 
 // workerConn is one connection to a worker. It carries one submission at a time.
 type workerConn struct {
-	l      *loop
-	c      gnet.Conn
-	pool   *pool
-	at     int32
-	gen2   uint32 // of this place
-	closed bool
-	call   *call // whose submission n is out here, or nil
-	gen    uint32
-	n      int
-	used   int // submissions it has carried
-	says   backSpeech
-	load   logic.Load
-	loaded bool
-	idled  logic.Nanos // before its last use
-	greets bool        // it stands, and cannot be asked yet
-	stops  logic.Nanos // when we ended our sending; 0: we did not
-	since  logic.Nanos // when it became idle
-	armed  logic.Nanos
+	l        *loop
+	c        gnet.Conn
+	pool     *pool
+	at       int32
+	gen2     uint32 // of this place
+	closed   bool
+	call     *call // whose submission n is out here, or nil
+	gen      uint32
+	n        int
+	used     int // submissions it has carried
+	protocol workerProtocol
+	load     logic.Load
+	loaded   bool
+	idled    logic.Nanos // before its last use
+	greets   bool        // it stands, and cannot be asked yet
+	stops    logic.Nanos // when we ended our sending; 0: we did not
+	since    logic.Nanos // when it became idle
+	armed    logic.Nanos
 }
 
-func (l *loop) backOf(token uint64) *workerConn {
+func (l *loop) workerOf(token uint64) *workerConn {
 	at := int32(uint32(token))
-	if int(at) >= len(l.backs.items) {
+	if int(at) >= len(l.workerConns.items) {
 		return nil
 	}
-	if wc := l.backs.items[at]; wc.gen2 == uint32(token>>32) && !wc.closed {
+	if wc := l.workerConns.items[at]; wc.gen2 == uint32(token>>32) && !wc.closed {
 		return wc
 	}
 	return nil
@@ -71,13 +71,13 @@
 }
 
 func (l *loop) openWorker(c gnet.Conn, p *pool) {
-	at, wc := l.backs.take()
-	was := wc.says
+	at, wc := l.workerConns.take()
+	was := wc.protocol
 	*wc = workerConn{l: l, c: c, pool: p, at: at, gen2: wc.gen2 + 1, greets: true, since: l.now}
-	wc.says = l.p.speech.back(wc, was)
+	wc.protocol = l.p.protocol.back(wc, was)
 	c.SetContext(wc)
 	l.armWorker(wc, l.now+l.connectTimeout)
-	wc.says.opened()
+	wc.protocol.opened()
 }
 
 // ready takes a connection that can be asked.
@@ -124,7 +124,7 @@
 		return
 	}
 	if len(wc.pool.waiting) > 0 {
-		if wc.says.stale() {
+		if wc.protocol.stale() {
 			l.stats.stale++
 			l.closeWorker(wc, true)
 			return
@@ -185,8 +185,8 @@
 			break
 		}
 	}
-	wc.says.forget()
-	l.backs.give(wc.at)
+	wc.protocol.forget()
+	l.workerConns.give(wc.at)
 	l.open(p)
 	l.feed()
 }
@@ -195,7 +195,7 @@
 func (wc *workerConn) gone(err error) {
 	l := wc.l
 	c, n := wc.call, wc.n
-	if c != nil && wc.says.ends(err) {
+	if c != nil && wc.protocol.ends(err) {
 		if !wc.closed {
 			wc.release()
 		}
@@ -203,13 +203,13 @@
 	}
 	// What never left this host whole cannot have run.
 	e := logic.Broken
-	if c != nil && wc.says.unsent() {
+	if c != nil && wc.protocol.unsent() {
 		e = logic.ConnectFailed
 	}
 	if wc.stops > 0 {
 		e = logic.Cancelled
 	}
-	if c != nil && e != logic.ConnectFailed && wc.says.began() {
+	if c != nil && e != logic.ConnectFailed && wc.protocol.began() {
 		e = logic.Spoilt
 	}
 	if c != nil {
@@ -233,7 +233,7 @@
 			return
 		}
 		in, _ := wc.c.Peek(size)
-		if !wc.says.read(in) {
+		if !wc.protocol.read(in) {
 			return
 		}
 	}
