--- a/edge/client.go
+++ b/edge/client.go
@@ -178,7 +178,7 @@
 	}
 	var best *clientConn
 	for _, cc := range l.clientConns.items {
-		if cc.closed || cc.c == nil || cc.state != reading || !cc.protocol.fresh() || l.now-cc.since < newcomer ||
+		if cc.closed || cc.c == nil || cc.state != reading || !cc.protocol.fresh() || cc.c.OutboundBuffered() > 0 || l.now-cc.since < newcomer ||
 			cc.served > 0 && l.now-cc.since < logic.Nanos(l.p.plan.Door.Spare) {
 			continue
 		}
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -113,6 +113,19 @@
 	return n
 }
 
+// ends counts the connections of clients that have ended, by reason. The loops have ended.
+func (p *Process) ends() map[string]uint64 {
+	n := map[string]uint64{}
+	for _, l := range p.loops {
+		for why, one := range l.stats.ends {
+			if one > 0 {
+				n[endNames[why]] += one
+			}
+		}
+	}
+	return n
+}
+
 // logDrained tells how the drain ended.
 func (p *Process) logDrained(whole bool) {
 	write := p.log.Info
--- a/edge/process.go
+++ b/edge/process.go
@@ -154,7 +154,7 @@
 	p.stopLoops()
 	p.lastSave()
 	owed := p.owed()
-	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Uint64("owed", owed))
+	p.log.Info("stopped", zap.Duration("drained-in", time.Since(began)), zap.Uint64("owed", owed), zap.Any("ends", p.ends()))
 	if !whole {
 		return fmt.Errorf("drain: not through after %v, %d requests were still owed", p.plan.KeepOpen+p.plan.DrainWithin, owed)
 	}
