A drain leaves slow readers to their own bound; the stop is tested over HTTP, two loops and streams

Cause: by reading the whole change: a connection with answers not sent was looked at every 2 ms in a drain and never given up as a slow reader, so it would have held the stop until its bound; the same decision stood in both protocols.

Change: it is taken once, where connections are looked at. Tests: a client that does not read, and steady use over HTTP with two loops and carriers.

--- a/edge/client.go
+++ b/edge/client.go
@@ -143,6 +143,10 @@
 	until := logic.Nanos(0)
 	switch cc.state {
 	case reading:
+		if l.draining && cc.rests() {
+			l.drainClient(cc)
+			return
+		}
 		if until = cc.protocol.waits(); cc.closed || until == 0 && cc.state == reading {
 			return
 		}
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -70,9 +70,6 @@
 				l.refuse(cc, 408, "the head came too slowly")
 				return 0
 			}
-		} else if l.draining {
-			l.drainClient(cc)
-			return 0
 		} else if until = cc.since + logic.Nanos(door.Idle); until <= l.now {
 			return cc.endIdle()
 		}
--- a/edge/closing.go
+++ b/edge/closing.go
@@ -71,12 +71,16 @@
 	cc.l.el.Close(c)
 }
 
-// retire ends a connection on which nothing is owed, and tells whether it could: one that has a part of a request, or answers not sent, is
-// still needed.
+// rests tells whether nothing is owed on the connection: no request nor a part of one has come, and all answers have left this process.
+func (cc *clientConn) rests() bool {
+	return cc.state == reading && cc.call == nil && cc.protocol.fresh() && len(cc.input()) == 0 && cc.c.OutboundBuffered() == 0
+}
+
+// retire ends a connection on which nothing is owed, and tells whether it could.
 //
 // Nothing is read between the look at what has come in and the end, as both happen on the loop that reads.
 func (cc *clientConn) retire(why endReason) bool {
-	return cc.state == reading && cc.call == nil && cc.protocol.fresh() && len(cc.input()) == 0 && cc.leave(why)
+	return cc.rests() && cc.leave(why)
 }
 
 func (l *loop) lookAtClosingSoon() {
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A request behind one whose answer did not say that the connection ends with it is answered, also where a drain has begun meanwhile, and
@@ -134,3 +138,69 @@
 		}
 	}
 }
+
+// Connections in steady use are stopped under clients that write on without a look, over two loops and with streamed answers: each request is
+// answered, or was not read, which a reset tells.
+func TestDrainUnderSteadyUse(t *testing.T) {
+	for round := range 6 {
+		r := start(t, "(loops 2) (door (answer-buffer 4KiB))", newStub(t, echo), newStub(t, echo))
+		var group sync.WaitGroup
+		var answers, resets atomic.Int64
+		body := strings.Repeat("b", 6<<10) // comes back larger than is kept whole
+		for i := range 24 {
+			c := r.dial()
+			request := get("/ask")
+			if i%3 == 0 {
+				request = fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: t\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			group.Go(func() {
+				in := bufio.NewReader(c)
+				for {
+					if _, err := io.WriteString(c, request); err != nil {
+						return
+					}
+					resp, err := http.ReadResponse(in, nil)
+					if err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					if err == nil {
+						answers.Add(1)
+						continue
+					}
+					if !endedByReset(c) {
+						t.Errorf("client %d of round %d: a request ended with %v and no reset", i, round, err)
+					}
+					resets.Add(1)
+					return
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		r.stop()
+		group.Wait()
+		if err := <-r.done; err != nil {
+			t.Error(err)
+		}
+		r.done = nil
+		t.Logf("%d answers, %d requests not read", answers.Load(), resets.Load())
+	}
+}
+
+// endedByReset tells whether a connection that has ended was reset, for which it gives the other end a second.
+func endedByReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		closed := false
+		raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+		})
+		if closed {
+			return true
+		}
+	}
+	return false
+}
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -83,9 +83,6 @@
 	l := cc.l
 	door := &l.p.plan.Door
 	switch {
-	case l.draining && d.partAt == 0 && d.asksAt == 0:
-		l.drainClient(cc)
-		return 0
 	case d.asksAt > 0:
 		d.asksAt = 0
 		cc.read()
