At the end of a drain's time a connection that cannot leave yet refuses what is asked

With no descriptor to spare, retire fails until the last answer is acknowledged; endDrain then sent a fatal error to a connection that owed nothing (edge/drain.go), and what came after that was read and thrown away.

Change: such a connection is looked at again and stays readable; what is asked on it is refused, trying again does no harm.

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -66,7 +66,11 @@
 		}
 	}
 	for _, cc := range l.clientConns.items {
-		if !cc.closed && cc.c != nil && cc.state == reading && !cc.retire(endDrain) {
+		switch {
+		case cc.closed || cc.c == nil || cc.state != reading:
+		case cc.rests(): // it may have to wait for its acknowledgement; what is asked meanwhile is refused, not thrown away
+			l.drainClient(cc)
+		default:
 			cc.protocol.stop(endDrain)
 		}
 	}
