A loop holds a descriptor in reserve, by which connections can leave when none is left

Change: a reserve that is given up for the moment between the copy of a connection's descriptor and the end of the first one.

--- a/edge/closing.go
+++ b/edge/closing.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"os"
+
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
@@ -47,7 +49,11 @@
 		return true
 	}
 	fd, err := c.Dup()
-	if err != nil { // out of descriptors; it needs none once its last answer is acknowledged
+	if err != nil && l.giveSpare() { // out of descriptors: its own becomes free in a moment
+		fd, err = c.Dup()
+	}
+	if err != nil { // it needs none once its last answer is acknowledged
+		l.takeSpare()
 		return false
 	}
 	unix.Shutdown(fd, unix.SHUT_WR) // one that is gone tells so by itself
@@ -55,6 +61,7 @@
 	l.clients.Add(1)
 	cc.gone(why)
 	l.el.Close(c)
+	l.takeSpare()
 	l.closing = append(l.closing, closingConn{fd, l.now})
 	l.lookAtClosingSoon()
 	return true
@@ -104,6 +111,7 @@
 		l.clients.Add(-1)
 	}
 	l.closing = kept
+	l.takeSpare()
 	if len(kept) > 0 {
 		l.lookAtClosingSoon()
 	}
@@ -124,6 +132,27 @@
 	return err != nil && err != unix.EAGAIN // it broke
 }
 
+// takeSpare holds a descriptor for when none is left. Without it a connection whose client asks again at each answer would never be seen with all
+// acknowledged, and hold up a stop.
+func (l *loop) takeSpare() {
+	if l.spare >= 0 {
+		return
+	}
+	if fd, err := unix.Open(os.DevNull, unix.O_RDONLY|unix.O_CLOEXEC, 0); err == nil {
+		l.spare = fd
+	}
+}
+
+// giveSpare gives that descriptor back, and tells whether there was one.
+func (l *loop) giveSpare() bool {
+	if l.spare < 0 {
+		return false
+	}
+	unix.Close(l.spare)
+	l.spare = -1
+	return true
+}
+
 // closeAllClosing closes what still waits when the loop ends.
 func (l *loop) closeAllClosing() {
 	if n := len(l.closing); n > 0 {
@@ -133,6 +162,7 @@
 		unix.Close(c.fd)
 	}
 	l.closing = nil
+	l.giveSpare()
 }
 
 // unacknowledged gives how many bytes sent on a connection, its end included, the other host has not acknowledged; negative where the
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -120,6 +120,7 @@
 	toldDrained                bool
 	closing                    []closingConn
 	closingArmed               bool
+	spare                      int  // a descriptor held for when none is left; -1: none
 	listed                     bool // the list of the moment has come
 	voting                     bool
 	stats                      stats
@@ -151,7 +152,7 @@
 	seed := int64(xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil,
 		uint64(p.plan.Seed)), uint64(number))) >> 1)
 	l := &loop{p: p, number: number, log: p.log.With(zap.Int("sentry", number)), rng: rand.New(rand.NewSource(seed)),
-		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1), drained: make(chan struct{}),
+		outers: map[uint64]struct{}{}, pools: map[logic.WorkerID]*pool{}, starts: map[logic.WorkerID]startOf{}, rearm: make(chan struct{}, 1), drained: make(chan struct{}), spare: -1,
 		startsTold: p.live != nil, quit: make(chan struct{}), connectTimeout: logic.Nanos(p.plan.Workers.ConnectTimeout),
 		workerIdle: logic.Nanos(p.plan.Workers.Idle), reuse: reuse{upTo: logic.Nanos(p.plan.Workers.Idle), most: logic.Nanos(p.plan.Workers.Idle)}}
 	l.life = xxhash.Sum64(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64([]byte(p.plan.Name), uint64(p.epoch)), uint64(number)))
@@ -174,6 +175,7 @@
 		return err
 	}
 	l.waker = ours
+	l.takeSpare()
 	c, err := l.client.EnrollContext(theirs, wakeMark{})
 	if err != nil {
 		return err
