--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -123,7 +123,7 @@
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { // a case that is ended takes its sentry along
 		<-ended
-		s.cmd.Process.Kill()
+		s.Kill()
 		os.RemoveAll(dir)
 		os.Exit(NotRun)
 	}()
