edge: worker connections are opened at the end of a callback, not inside a close

Cause: closing a worker connection opened connections for workers that waited for room, which closed further idle connections, all in one call. startSubmission walked the idle connections of a worker by index while it closed some; the nested closes took others out of the same list. A close that made room for one dial also let another step of the nest take that room, so the limit was passed. A failed dial gave its room to nobody, so submissions waited beside free room until they failed.

Change: a close changes only the state and queues its pool. openQueuedConns opens connections for the queue at the end of each callback, the one place that closes idle connections for room and takes it. It also runs after a failed dial and when a connection becomes idle.

Why this works: no step that a walk calls closes or opens another connection, and room is checked and taken in one loop.

--- a/edge/call.go
+++ b/edge/call.go
@@ -145,6 +145,8 @@
 	waiting    []waiter      // submissions that need a connection, oldest first
 	numConns   int           // open or being opened
 	numDialing int           // being opened
+	// dialsQueued is whether the pool is in loop.dialQueue.
+	dialsQueued bool
 }
 
 // waiter is a submission that waits for a connection.
@@ -207,20 +209,46 @@
 	}
 	p.waiting = append(p.waiting, waiter{c, c.gen, n})
 	l.timers.push(timer{at: l.now + l.connectTimeout, token: uint64(c.id()), kind: timerConnWait, subIndex: uint8(n)})
-	l.dialForWaiters(p)
+	l.queueDials(p)
 }
 
-// dialForWaiters opens connections until one is being opened for each waiting submission, within the limits.
-func (l *loop) dialForWaiters(p *pool) {
-	if len(p.waiting) == 0 {
+// queueDials queues a pool to open connections for its waiting submissions. openQueuedConns opens them at the end of the
+// callback. Opening them at once could close idle connections of other pools in the middle of a walk over those, and take
+// the room of a closed connection that the caller is about to take.
+func (l *loop) queueDials(p *pool) {
+	l.roomChanged = true
+	if len(p.waiting) > 0 && !p.dialsQueued {
+		p.dialsQueued = true
+		l.dialQueue = append(l.dialQueue, p)
+	}
+}
+
+// openQueuedConns opens connections for the queued pools. Pools for which no room is left stay queued in their order. It runs
+// at the end of each callback and does nothing unless room may have become free or a pool was queued.
+func (l *loop) openQueuedConns() {
+	if !l.roomChanged || l.stopping {
 		return
 	}
+	held := l.heldPools[:0]
+	for i := 0; i < len(l.dialQueue); i++ { // not a range: closing an idle connection may queue its pool
+		p := l.dialQueue[i]
+		if p.dialsQueued = !l.openConnsFor(p); p.dialsQueued {
+			held = append(held, p)
+		}
+	}
+	clear(l.dialQueue) // so that removed pools can be collected
+	l.dialQueue, l.heldPools = held, l.dialQueue[:0]
+	l.roomChanged = false
+}
+
+// openConnsFor opens connections until one is being opened for each submission that waits in a pool, within the limits. It
+// returns false if the limit on all worker connections leaves no room for the rest.
+func (l *loop) openConnsFor(p *pool) bool {
+	limits := &l.p.cfg.WorkerLimits
 	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return !w.valid() })
-	for p.numDialing < len(p.waiting) && p.numConns < l.p.cfg.WorkerLimits.MaxConnections &&
-		l.numDialing < l.p.cfg.WorkerLimits.MaxDialing && !l.stopping {
-		if total := l.p.cfg.WorkerLimits.MaxTotalConnections; total > 0 && l.numConns >= total && !l.closeLongestIdle(p) {
-			l.starvedPools = append(l.starvedPools, p)
-			return
+	for p.numDialing < len(p.waiting) && p.numConns < limits.MaxConnections && l.numDialing < limits.MaxDialing {
+		if !l.makeRoom(p) {
+			return false
 		}
 		l.numConns++
 		p.numDialing++
@@ -229,6 +257,19 @@
 		l.stats.dials++
 		l.dial(p)
 	}
+	return true
+}
+
+// makeRoom closes idle connections of other pools until another connection stays within the limit on all worker connections.
+// It reports whether there is room.
+func (l *loop) makeRoom(p *pool) bool {
+	limit := l.p.cfg.WorkerLimits.MaxTotalConnections
+	for limit > 0 && l.numConns >= limit {
+		if !l.closeLongestIdle(p) {
+			return false
+		}
+	}
+	return true
 }
 
 // closeLongestIdle closes the connection that has been idle for longest, leaving out the given pool. It reports whether there
@@ -247,15 +288,6 @@
 	return oldest != nil
 }
 
-// dialStarvedPools opens connections for the pools that could not dial because of the limit on all worker connections.
-func (l *loop) dialStarvedPools() {
-	for len(l.starvedPools) > 0 && l.numConns < l.p.cfg.WorkerLimits.MaxTotalConnections {
-		p := l.starvedPools[0]
-		l.starvedPools = l.starvedPools[1:]
-		l.dialForWaiters(p)
-	}
-}
-
 // dialFailed handles a failed dial for a pool.
 func (l *loop) dialFailed(p *pool) {
 	p.numDialing--
@@ -264,7 +296,7 @@
 	l.numDialing--
 	l.stats.dialsFailed++
 	l.failOldestWaiter(p)
-	l.dialForWaiters(p)
+	l.queueDials(p)
 }
 
 // failOldestWaiter ends the submission that has waited longest in a pool, after a connection could not be opened.
@@ -307,6 +339,7 @@
 	}
 	wc.since = l.now
 	p.idle = append(p.idle, wc)
+	l.roomChanged = true
 	if len(p.waiting) > 0 {
 		l.scheduleWorkerCheck(wc, l.now+reuseDelay)
 		return
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -100,7 +100,9 @@
 	numDialing         int        // worker connections being opened
 	reuseLimit         reuseLimit // limits how long an idle worker connection may be reused
 	numConns           int        // worker connections, open or being opened
-	starvedPools       []*pool    // pools that wait until numConns falls below its limit
+	dialQueue          []*pool    // pools whose submissions wait for connections to be opened, in the order of service
+	heldPools          []*pool    // buffer of openQueuedConns
+	roomChanged        bool       // whether openQueuedConns may be able to open connections
 	heldBytes          int        // bytes received from clients and not consumed yet
 	timers             timerHeap
 
@@ -358,9 +360,11 @@
 	l.callbackDepth++
 }
 
-// endCallback runs the due timers and sets the alarm for the next one. Every callback from gnet ends with it.
+// endCallback runs the due timers, opens the worker connections that are needed, and sets the alarm for the next timer. Every
+// callback from gnet ends with it.
 func (l *loop) endCallback() {
 	l.runDueTimers()
+	l.openQueuedConns()
 	l.checkDrained()
 	l.callbackDepth--
 	if len(l.timers) == 0 {
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -170,7 +170,8 @@
 	l.eventLoop.Close(c)
 }
 
-// releaseSlot marks the connection as closed, frees its slot and opens connections for submissions that wait for one.
+// releaseSlot marks the connection as closed, frees its slot and queues its pool to open connections for submissions that wait
+// for one. It closes and opens no other connection, so callers may be walking connections.
 func (wc *workerConn) releaseSlot() {
 	l, p := wc.l, wc.pool
 	wc.closed, wc.call, wc.c = true, nil, nil
@@ -192,8 +193,7 @@
 	}
 	wc.protocol.releaseBuffers()
 	l.workerConns.put(wc.slot)
-	l.dialForWaiters(p)
-	l.dialStarvedPools()
+	l.queueDials(p)
 }
 
 // handleClose handles a connection that the worker has closed or that failed.
