edge: a dial held back by the limit on concurrent dials is made once a dial ends

A request waited for a connection beside free room, until its wait failed after the time-out for connections, and cost an attempt.

Change: such a pool stays queued, and the end of a handshake lets the queue be looked at again.

Why this works: a pool leaves the queue only once it has a dial for each waiting submission, or is at its own limit, and then the end of one of its own connections queues it again.

Tests: TestDialsHeldBackByOtherWorkersDialsAreMadeUp times out on the commit before and passes now.

--- a/edge/call.go
+++ b/edge/call.go
@@ -242,12 +242,12 @@
 }
 
 // openConnsFor opens connections until one is being opened for each submission that waits in a pool, within the limits. It
-// returns false if the limit on all worker connections leaves no room for the rest.
+// returns false if a limit on the connections to all workers leaves no room for the rest.
 func (l *loop) openConnsFor(p *pool) bool {
 	limits := &l.p.cfg.WorkerLimits
 	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return !w.valid() })
-	for p.numDialing < len(p.waiting) && p.numConns < limits.MaxConnections && l.numDialing < limits.MaxDialing {
-		if !l.makeRoom(p) {
+	for p.numDialing < len(p.waiting) && p.numConns < limits.MaxConnections {
+		if l.numDialing >= limits.MaxDialing || !l.makeRoom(p) {
 			return false
 		}
 		l.numConns++
--- a/edge/pool_test.go
+++ b/edge/pool_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,11 +83,24 @@
 	return nil
 }
 
-// startIdleWorkers starts workers that only hold connections, and an edge with the given limits on connections to them.
-func startIdleWorkers(t *testing.T, workers, total int, extra string) *testEdge {
+// answerOrReset returns a handler that answers after a short time, but resets the connection of every third request.
+func answerOrReset() handler {
+	const answerAfter = 3 * time.Millisecond
+	var requests atomic.Int64
+	return func(c net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(answerAfter)
+		if requests.Add(1)%3 == 0 {
+			return resetConn(c, r, body)
+		}
+		return echo(c, r, body)
+	}
+}
+
+// startLimitedEdge starts workers and an edge with the given limit on connections to all of them.
+func startLimitedEdge(t *testing.T, workers, total int, extra string) *testEdge {
 	var list []*stubWorker
 	for range workers {
-		list = append(list, newStubWorker(t, hang))
+		list = append(list, newStubWorker(t, answerOrReset()))
 	}
 	r := startEdge(t, extra, list...)
 	r.onLoop(func(l *loop) {
@@ -97,7 +112,7 @@
 
 // Guards against a crash: closing an idle connection under the limit on worker connections closed others of the list walked.
 func TestIdleConnectionsCloseWhileOtherWorkersWaitForRoom(t *testing.T) {
-	r := startIdleWorkers(t, 3, 3, "")
+	r := startLimitedEdge(t, 3, 3, "")
 	r.onLoop(func(l *loop) {
 		for _, worker := range []logic.WorkerID{"w0", "w0", "w1", "w2", "w2", "w2"} { // no room is left for w2
 			submitTo(l, worker)
@@ -121,7 +136,7 @@
 
 // Guards against more connections to workers than their limit: the room of one closed connection was taken twice.
 func TestRoomOfAClosedConnectionIsTakenOnce(t *testing.T) {
-	r := startIdleWorkers(t, 4, 2, "")
+	r := startLimitedEdge(t, 4, 2, "")
 	r.onLoop(func(l *loop) {
 		for _, worker := range []logic.WorkerID{"w0", "w1", "w2"} { // no room is left for w2
 			submitTo(l, worker)
@@ -142,7 +157,7 @@
 
 // Guards against submissions that time out beside free room: a failed dial did not pass its room on to other workers.
 func TestFailedDialGivesItsRoomToOtherWorkers(t *testing.T) {
-	r := startIdleWorkers(t, 1, 2, "")
+	r := startLimitedEdge(t, 1, 2, "")
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -163,13 +178,24 @@
 	r.awaitNoWaiters()
 }
 
+// Guards against submissions that time out beside free room: nobody opened what the limit on concurrent dials had held back.
+func TestDialsHeldBackByOtherWorkersDialsAreMadeUp(t *testing.T) {
+	r := startLimitedEdge(t, 3, 100, "(workers (dialing 1))")
+	r.onLoop(func(l *loop) {
+		for _, worker := range []logic.WorkerID{"w0", "w1", "w2"} { // one can be dialed at once
+			submitTo(l, worker)
+		}
+	})
+	r.awaitNoWaiters()
+}
+
 // Guards against contradictory books and passed limits, whatever the order in which connections open, idle, end and wait.
 func TestWorkerPoolsUnderRandomOrders(t *testing.T) {
 	const workers, steps = 6, 400
 	for seed := range int64(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewSource(seed))
-			r := startIdleWorkers(t, workers, 3+rng.Intn(8), fmt.Sprintf("(workers (connections %d) (dialing %d))", 2+rng.Intn(4), 1+rng.Intn(8)))
+			r := startLimitedEdge(t, workers, 3+rng.Intn(8), fmt.Sprintf("(workers (connections %d) (dialing %d))", 2+rng.Intn(4), 1+rng.Intn(8)))
 			failed := false
 			for step := 0; step < steps && !failed; step++ {
 				r.onLoop(func(l *loop) { randomPoolStep(l, rng, workers) })
@@ -180,6 +206,7 @@
 					}
 				})
 			}
+			r.awaitNoWaiters()
 		})
 	}
 }
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -88,6 +88,7 @@
 		wc.handshaking = false
 		wc.pool.numDialing--
 		l.numDialing--
+		l.roomChanged = true
 	}
 	l.offerConn(wc)
 }
