edge: a connection back from a relayed answer is closed when others have taken its room

What callers saw: a worker got more connections from a loop than (workers (connections N)) allows. Found while looking for limits that are passed like the one on all connections; HTTP only, as the live process relays nothing.

Cause: the connection of a streamed answer leaves the books while a goroutine relays the answer, and its room is given away. When the relay returned it, it was counted again with no look at the limits, and kept.

Change: a returned connection is closed if its worker, or all workers together, are at their limit by then.

Why this works: the check and the count are one step of the loop that owns the pools.

--- a/edge/call.go
+++ b/edge/call.go
@@ -250,16 +250,21 @@
 		if l.numDialing >= limits.MaxDialing || !l.makeRoom(p) {
 			return false
 		}
-		l.numConns++
-		p.numDialing++
-		p.numConns++
-		l.numDialing++
+		l.countDial(p)
 		l.stats.dials++
 		l.dial(p)
 	}
 	return true
 }
 
+// countDial counts a connection that is being opened.
+func (l *loop) countDial(p *pool) {
+	p.numConns++
+	l.numConns++
+	p.numDialing++
+	l.numDialing++
+}
+
 // makeRoom closes idle connections of other pools until another connection stays within the limit on all worker connections.
 // It reports whether there is room.
 func (l *loop) makeRoom(p *pool) bool {
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -665,21 +665,20 @@
 // OnOpen handles a new connection, from a client or to a worker.
 func (l *loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	l.beginCallback()
+	action := gnet.None
 	switch ctx := c.Context().(type) {
 	case *acceptedClient:
 		l.openClient(c, ctx)
 	case *pool:
 		l.openWorkerConn(c, ctx)
-	case *returnedWorker: // counted like a dialed connection, as handleReady expects
-		ctx.pool.numConns++
-		l.numConns++
-		ctx.pool.numDialing++
-		l.numDialing++
-		l.openWorkerConn(c, ctx.pool)
+	case *returnedWorker:
+		if !l.reopenWorkerConn(c, ctx.pool) {
+			action = gnet.Close
+		}
 	}
 	l.processEvents()
 	l.endCallback()
-	return nil, gnet.None
+	return nil, action
 }
 
 // OnTraffic handles received bytes.
--- a/edge/pool_test.go
+++ b/edge/pool_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,6 +192,38 @@
 	r.awaitNoWaiters()
 }
 
+// Guards against more connections to a worker than its limit: a connection back from a relayed answer was kept above it.
+func TestConnectionBackFromARelayKeepsTheLimit(t *testing.T) {
+	const half = 4 << 10
+	relayed := make(chan struct{})
+	r := startEdge(t, "(workers (connections 1)) (door (answer-buffer 1KiB))", newStubWorker(t, func(c net.Conn, req *http.Request, b []byte) bool {
+		if req.URL.Path != "/ask/big" {
+			return echo(c, req, b)
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*half, strings.Repeat("x", half))
+		<-relayed
+		io.WriteString(c, strings.Repeat("x", half))
+		return true
+	}))
+	r.onLoop(func(l *loop) { l.p.cfg.WorkerLimits.MaxTotalConnections = 100 })
+	c := r.dial()
+	io.WriteString(c, get("/ask/big"))
+	waitFor(t, "a relayed answer", func() bool { return r.stats().streaming == 1 })
+	if answers, _ := r.roundTrip(get("/ask"), "GET"); answers[0].StatusCode != 200 {
+		t.Errorf("got status %d beside a relayed answer, want 200", answers[0].StatusCode)
+	}
+	close(relayed)
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the end of the relay", func() bool { return r.stats().streaming == 0 })
+	r.onLoop(func(l *loop) {
+		if err := checkPools(l); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against contradictory books and passed limits, whatever the order in which connections open, idle, end and wait.
 func TestWorkerPoolsUnderRandomOrders(t *testing.T) {
 	const workers, steps = 6, 400
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -82,6 +82,18 @@
 	wc.protocol.handleOpen()
 }
 
+// reopenWorkerConn takes back a connection whose answer a streamRelay has forwarded. It returns false if others have taken its
+// room meanwhile, since the limits don't count the connections of relays.
+func (l *loop) reopenWorkerConn(c gnet.Conn, p *pool) bool {
+	limits := &l.p.cfg.WorkerLimits
+	if p.numConns >= limits.MaxConnections || limits.MaxTotalConnections > 0 && l.numConns >= limits.MaxTotalConnections {
+		return false
+	}
+	l.countDial(p) // handleReady, which openWorkerConn leads to, takes it for a dialed connection
+	l.openWorkerConn(c, p)
+	return true
+}
+
 // handleReady handles a connection that has become ready for submissions.
 func (l *loop) handleReady(wc *workerConn) {
 	if wc.handshaking {
