edge: worker pools and the reuse limit get files of their own; taking an idle connection

The removal of a connection from the idle ones stood three times.

Change: pool.go and reuse.go, moved as they were. New functions takeIdleConn, the loop out of startSubmission, and removeIdle, for the three removals.

--- a/edge/call.go
+++ b/edge/call.go
@@ -1,10 +1,6 @@
 package edge
 
-import (
-	"slices"
-
-	"dunegrade/logic"
-)
+import "dunegrade/logic"
 
 // maxSubs is the maximum number of submissions of a txn. The decision module has the same limit.
 const maxSubs = 8
@@ -136,31 +132,6 @@
 	l.enqueue(ev)
 }
 
-// pool holds the connections to one worker.
-type pool struct {
-	id         logic.WorkerID
-	address    string
-	removed    bool          // the worker has left the list or changed its address, so connections are not kept
-	idle       []*workerConn // in the order in which they became idle
-	waiting    []waiter      // submissions that need a connection, oldest first
-	numConns   int           // open or being opened
-	numDialing int           // being opened
-	// dialsQueued is whether the pool is in loop.dialQueue.
-	dialsQueued bool
-}
-
-// waiter is a submission that waits for a connection.
-type waiter struct {
-	call     *call
-	callGen  uint32 // generation of call when the submission was queued
-	subIndex int    // index in call.subs
-}
-
-// valid reports whether the submission still waits and its answer is still wanted.
-func (w waiter) valid() bool {
-	return w.call.gen == w.callGen && w.call.subs[w.subIndex].state == subWaiting && !w.call.answered && !w.call.clientLeft
-}
-
 // endWaitingSubs ends the submissions of a finished call that still wait for a connection. If the configuration forbids
 // cancelling, the module does not cancel them, and they would be sent although the client has left or has its answer.
 func (l *loop) endWaitingSubs(c *call) {
@@ -188,22 +159,7 @@
 	if timeout > 0 && l.now+timeout < c.txn.Expiry {
 		l.timers.push(timer{at: l.now + timeout, token: uint64(c.id()), kind: timerSubTimeout, subIndex: uint8(n)})
 	}
-	for i := len(p.idle) - 1; i >= 0; i-- { // most recently used first: the worker may be about to close the others
-		wc := p.idle[i]
-		if l.now-wc.since > l.reuseLimit.idleLimit {
-			l.closeWorkerConn(wc, false)
-			continue
-		}
-		if l.now-wc.since < logic.Nanos(l.p.cfg.WorkerLimits.ReuseDelay) {
-			l.scheduleWorkerCheck(wc, wc.since+logic.Nanos(l.p.cfg.WorkerLimits.ReuseDelay))
-			continue // extra bytes that the worker sends after an answer would be taken for the next answer
-		}
-		if wc.protocol.stale() {
-			l.stats.stale++
-			l.closeWorkerConn(wc, true)
-			continue
-		}
-		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+	if wc := l.takeIdleConn(p); wc != nil {
 		l.assignConn(wc, c, n)
 		return
 	}
@@ -212,165 +168,6 @@
 	l.queueDials(p)
 }
 
-// queueDials queues a pool to open connections for its waiting submissions. openQueuedConns opens them at the end of the
-// callback. Opening them at once could close idle connections of other pools in the middle of a walk over those, and take
-// the room of a closed connection that the caller is about to take.
-func (l *loop) queueDials(p *pool) {
-	l.roomChanged = true
-	if len(p.waiting) > 0 && !p.dialsQueued {
-		p.dialsQueued = true
-		l.dialQueue = append(l.dialQueue, p)
-	}
-}
-
-// openQueuedConns opens connections for the queued pools. Pools for which no room is left stay queued in their order. It runs
-// at the end of each callback and does nothing unless room may have become free or a pool was queued.
-func (l *loop) openQueuedConns() {
-	if !l.roomChanged || l.stopping {
-		return
-	}
-	held := l.heldPools[:0]
-	for i := 0; i < len(l.dialQueue); i++ { // not a range: closing an idle connection may queue its pool
-		p := l.dialQueue[i]
-		if p.dialsQueued = !l.openConnsFor(p); p.dialsQueued {
-			held = append(held, p)
-		}
-	}
-	clear(l.dialQueue) // so that removed pools can be collected
-	l.dialQueue, l.heldPools = held, l.dialQueue[:0]
-	l.roomChanged = false
-}
-
-// openConnsFor opens connections until one is being opened for each submission that waits in a pool, within the limits. It
-// returns false if a limit on the connections to all workers leaves no room for the rest.
-func (l *loop) openConnsFor(p *pool) bool {
-	limits := &l.p.cfg.WorkerLimits
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return !w.valid() })
-	for p.numDialing < len(p.waiting) && p.numConns < limits.MaxConnections {
-		if l.numDialing >= limits.MaxDialing || !l.makeRoom(p) {
-			return false
-		}
-		l.countDial(p)
-		l.stats.dials++
-		l.dial(p)
-	}
-	return true
-}
-
-// countDial counts a connection that is being opened.
-func (l *loop) countDial(p *pool) {
-	p.numConns++
-	l.numConns++
-	p.numDialing++
-	l.numDialing++
-}
-
-// makeRoom closes idle connections of other pools until another connection stays within the limit on all worker connections.
-// It reports whether there is room.
-func (l *loop) makeRoom(p *pool) bool {
-	limit := l.p.cfg.WorkerLimits.MaxTotalConnections
-	for limit > 0 && l.numConns >= limit {
-		if !l.closeLongestIdle(p) {
-			return false
-		}
-	}
-	return true
-}
-
-// closeLongestIdle closes the connection that has been idle for longest, leaving out the given pool. It reports whether there
-// was an idle connection.
-func (l *loop) closeLongestIdle(except *pool) bool {
-	var oldest *workerConn
-	for _, wc := range l.workerConns.items {
-		if !wc.closed && wc.pool != nil && wc.pool != except && wc.call == nil && !wc.handshaking &&
-			(oldest == nil || wc.since < oldest.since) {
-			oldest = wc
-		}
-	}
-	if oldest != nil {
-		l.closeWorkerConn(oldest, false)
-	}
-	return oldest != nil
-}
-
-// dialFailed handles a failed dial for a pool.
-func (l *loop) dialFailed(p *pool) {
-	p.numDialing--
-	p.numConns--
-	l.numConns--
-	l.numDialing--
-	l.stats.dialsFailed++
-	l.failOldestWaiter(p)
-	l.queueDials(p)
-}
-
-// failOldestWaiter ends the submission that has waited longest in a pool, after a connection could not be opened.
-func (l *loop) failOldestWaiter(p *pool) {
-	for len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if w.valid() {
-			l.endSubmission(w.call, w.subIndex, logic.ConnectFailed, nil)
-			break
-		}
-	}
-}
-
-// endPoolWaiters ends the waiting submissions of a pool whose worker gets no more submissions. They were never sent.
-func (l *loop) endPoolWaiters(p *pool) {
-	waiting := p.waiting
-	p.waiting = nil
-	for _, w := range waiting {
-		if w.valid() {
-			l.endSubmission(w.call, w.subIndex, logic.Skipped, nil)
-		}
-	}
-}
-
-// offerConn assigns a free connection to the submission that has waited longest, or adds it to the idle connections. A
-// connection that has just delivered an answer is not reused before the configured delay, as some workers send extra bytes
-// after an answer.
-func (l *loop) offerConn(wc *workerConn) {
-	p := wc.pool
-	reuseDelay := logic.Nanos(l.p.cfg.WorkerLimits.ReuseDelay)
-	if wc.numUses == 0 || reuseDelay == 0 {
-		if l.serveOldestWaiter(wc) {
-			return
-		}
-	}
-	if p.removed || l.stopping {
-		l.closeWorkerConn(wc, false)
-		return
-	}
-	wc.since = l.now
-	p.idle = append(p.idle, wc)
-	l.roomChanged = true
-	if len(p.waiting) > 0 {
-		l.scheduleWorkerCheck(wc, l.now+reuseDelay)
-		return
-	}
-	l.scheduleWorkerCheck(wc, l.now+l.workerIdleTimeout)
-}
-
-// serveOldestWaiter assigns the connection to the submission that has waited longest in its pool and that the module still
-// allows. It reports whether there was such a submission.
-func (l *loop) serveOldestWaiter(wc *workerConn) bool {
-	p := wc.pool
-	for len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if !w.valid() {
-			continue
-		}
-		if l.sentry.StillAllowed(l.now, w.call.id(), w.subIndex) {
-			l.assignConn(wc, w.call, w.subIndex)
-			return true
-		}
-		l.endSubmission(w.call, w.subIndex, logic.Skipped, nil)
-	}
-	return false
-}
-
 // assignConn writes submission n of a call to a connection.
 func (l *loop) assignConn(wc *workerConn, c *call, n int) {
 	s := &c.subs[n]
@@ -388,51 +185,6 @@
 	}
 }
 
-// reuseLimit estimates how long a connection may be idle and still be reused. A middlebox may silently drop idle connections,
-// and earlier than announced; each reuse of a dropped connection costs a submission that may have run.
-type reuseLimit struct {
-	// resetRates holds the smoothed shares of connections reset on reuse, by bucket of idle time. Bucket 0 is for connections
-	// in steady use.
-	resetRates [idleBuckets]float64
-	idleLimit  logic.Nanos // longest idle time at which a connection is reused
-	maxIdle    logic.Nanos // upper bound of idleLimit
-	decayedAt  logic.Nanos // when resetRates were last decayed
-}
-
-const (
-	idleBuckets        = 9                      // buckets of idle time, each twice as long as the one before
-	firstIdleBucketEnd = 20 * logic.Millisecond // upper bound of bucket 0
-	promptReset        = 3 * logic.Millisecond  // a reset within this time of the write counts as a reset on reuse
-	resetRateGain      = 0.03                   // weight of a new observation in the smoothed rate
-	resetRateDecay     = 0.95                   // factor by which all rates are reduced every second
-	maxExcessResetRate = 0.08                   // excess over bucket 0's rate at which a bucket is not used
-)
-
-// observe records whether a connection that had been idle for the given time was reset on reuse.
-func (r *reuseLimit) observe(now, idledFor logic.Nanos, reset bool) {
-	if now-r.decayedAt > logic.Second { // so that buckets excluded from reuse are tried again after a while
-		r.decayedAt = now
-		for i := range r.resetRates {
-			r.resetRates[i] *= resetRateDecay
-		}
-	}
-	bucket, observed := 0, 0.0
-	for end := firstIdleBucketEnd; idledFor > end && bucket < idleBuckets-1; end *= 2 {
-		bucket++
-	}
-	if reset {
-		observed = 1
-	}
-	r.resetRates[bucket] += resetRateGain * (observed - r.resetRates[bucket])
-	r.idleLimit = r.maxIdle
-	for i, end := 1, firstIdleBucketEnd; i < idleBuckets; i, end = i+1, end*2 {
-		if r.resetRates[i] > r.resetRates[0]+maxExcessResetRate {
-			r.idleLimit = min(r.idleLimit, end)
-			break
-		}
-	}
-}
-
 // stopSubmission ends a submission that the module cancels or whose time is up.
 func (l *loop) stopSubmission(c *call, n int, e logic.Ending) {
 	s := &c.subs[n]
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"unsafe"
 
 	"github.com/panjf2000/gnet/v2"
@@ -146,7 +145,7 @@
 			l.closeWorkerConn(wc, true)
 			return
 		}
-		wc.pool.idle = slices.DeleteFunc(wc.pool.idle, func(other *workerConn) bool { return other == wc })
+		wc.pool.removeIdle(wc)
 		if l.serveOldestWaiter(wc) {
 			return
 		}
@@ -160,15 +159,6 @@
 	l.scheduleWorkerCheck(wc, wc.since+l.workerIdleTimeout)
 }
 
-// closeIdleConns closes the pool's idle connections.
-func (l *loop) closeIdleConns(p *pool) {
-	for len(p.idle) > 0 {
-		wc := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		l.closeWorkerConn(wc, false)
-	}
-}
-
 // closeWorkerConn closes a connection. With reset it sends a TCP reset, so that the worker knows at once that no answer is
 // wanted. The caller must end the submission that the connection carried.
 func (l *loop) closeWorkerConn(wc *workerConn, reset bool) {
@@ -198,12 +188,7 @@
 		l.stats.dialsFailed++
 		l.failOldestWaiter(p)
 	}
-	for i, other := range p.idle {
-		if other == wc {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			break
-		}
-	}
+	p.removeIdle(wc)
 	wc.protocol.releaseBuffers()
 	l.workerConns.put(wc.slot)
 	l.queueDials(p)
