edge: a gauge says for how many workers a connection limit leaves no room

Change: dunegrade_edge_now{what="workers-without-room"}, the length of the queue of pools that wait for room; a line in the operator's page. The limit itself is held by tests (edge/pool_test.go).

--- a/edge/stats.go
+++ b/edge/stats.go
@@ -43,6 +43,7 @@
 	openClients     int64
 	openTxns        int64
 	openWorkerConns int64
+	poolsHeld       int64 // pools for which a limit leaves no room for the connections that submissions wait for
 }
 
 // endingNames holds the values of the ending label.
@@ -54,6 +55,7 @@
 func (l *loop) publishStats() {
 	s := l.stats
 	s.openClients, s.openTxns, s.openWorkerConns = l.clientCount.Load(), int64(l.calls.inUse()), int64(l.workerConns.inUse())
+	s.poolsHeld = int64(len(l.dialQueue))
 	l.statsSnapshot.Store(&s)
 }
 
@@ -125,6 +127,7 @@
 		count(descHostVoided, s.hostVoided)
 		gauge("client-connections", s.openClients)
 		gauge("worker-connections", s.openWorkerConns)
+		gauge("workers-without-room", s.poolsHeld)
 		gauge("txns", s.openTxns)
 		gauge("streams", s.streaming)
 	}
