edge: loop.go is cut by job: events, the module's sink, waking, timers, slabs

Change: events.go, sink.go, wake.go, gnet_log.go and slab.go; what timers do stands beside the heap in timers.go.

--- a/edge/timers.go
+++ b/edge/timers.go
@@ -1,6 +1,10 @@
 package edge
 
-import "dunegrade/logic"
+import (
+	"go.uber.org/zap"
+
+	"dunegrade/logic"
+)
 
 // timerKind selects what happens when a timer fires.
 type timerKind uint8
@@ -70,29 +74,85 @@
 	return top
 }
 
-// slab is a pool of reusable values addressed by slot. Its users keep a generation number in each value to distinguish it
-// from earlier values in the same slot.
-type slab[T any] struct {
-	items []*T
-	free  []int32
+// runDueTimers fires the timers that are due and removes obsolete ones from the top of the heap.
+func (l *loop) runDueTimers() {
+	for len(l.timers) > 0 {
+		t := l.timers[0]
+		if t.at > l.now && !l.timerObsolete(t) {
+			return
+		}
+		l.timers.pop()
+		if t.at > l.now || l.timerObsolete(t) {
+			continue
+		}
+		l.fireTimer(t)
+		l.processEvents()
+	}
 }
 
-// get returns a free slot and the value last kept in it, or a new slot with a zero value.
-func (s *slab[T]) get() (int32, *T) {
-	if n := len(s.free); n > 0 {
-		slot := s.free[n-1]
-		s.free = s.free[:n-1]
-		return slot, s.items[slot]
+// timerObsolete reports whether the txn or submission that a timer was set for has ended.
+func (l *loop) timerObsolete(t timer) bool {
+	switch t.kind {
+	case timerExpiry, timerHalfClose, timerSubTimeout, timerConnWait:
+		c := l.findCall(logic.TxnID(t.token))
+		return c == nil || t.kind != timerExpiry && t.kind != timerHalfClose && c.subs[t.subIndex].state == subEnded
+	case timerModule: // a timer for a txn that has ended has no effect in the module
+		return t.txnID != 0 && l.findCall(t.txnID) == nil
 	}
-	s.items = append(s.items, new(T))
-	return int32(len(s.items) - 1), s.items[len(s.items)-1]
+	return false
 }
 
-// put frees a slot.
-func (s *slab[T]) put(slot int32) { s.free = append(s.free, slot) }
-
-// inUse returns the number of slots in use.
-func (s *slab[T]) inUse() int { return len(s.items) - len(s.free) }
+// fireTimer handles a timer that is due and still applies.
+func (l *loop) fireTimer(t timer) {
+	switch t.kind {
+	case timerModule:
+		if t.token == 0 { // the module's housekeeping tick
+			l.publishStats()
+			if l.recorder != nil {
+				l.recorder.FlushStale(l.now)
+			}
+		}
+		l.enqueue(event{kind: evTimer, token: t.token})
+	case timerExpiry:
+		l.expireCall(l.findCall(logic.TxnID(t.token)))
+	case timerHalfClose:
+		l.halfCloseOutstanding(l.findCall(logic.TxnID(t.token)))
+	case timerSubTimeout:
+		l.stopSubmission(l.findCall(logic.TxnID(t.token)), int(t.subIndex), logic.TimedOut)
+	case timerConnWait:
+		if c := l.findCall(logic.TxnID(t.token)); c.subs[t.subIndex].state == subWaiting {
+			l.endSubmission(c, int(t.subIndex), logic.ConnectFailed, nil)
+		}
+	case timerClientConn:
+		if cc := l.clientByToken(t.token); cc != nil {
+			cc.checkAt = 0
+			l.checkClient(cc)
+		}
+	case timerClosingConns:
+		l.checkClosing()
+	case timerDrainEnd:
+		l.finishDrain()
+	case timerWorkerConn:
+		if wc := l.workerByToken(t.token); wc != nil {
+			wc.checkAt = 0
+			l.checkWorkerConn(wc)
+		}
+	}
+}
 
-// slotToken returns the token by which a timer refers to a slot of a given generation.
-func slotToken(slot int32, gen uint32) uint64 { return uint64(uint32(slot)) | uint64(gen)<<32 }
+// expireCall ends the outstanding submissions of a call at its expiry, so that the module answers it at once.
+func (l *loop) expireCall(c *call) {
+	id := c.id()
+	for n := 0; n < c.numSubs; n++ {
+		l.stopSubmission(c, n, logic.TimedOut)
+	}
+	l.processEvents()
+	if c = l.findCall(id); c != nil && c.admitted && !c.answered && !c.clientLeft {
+		// The module still holds the txn although no submission is outstanding. Without this, the client would get no answer.
+		l.stats.hostVoided++
+		l.log.Error("txn held past its expiry, voided by the host", zap.Uint64("txn", uint64(c.id())))
+		l.enqueue(event{kind: evClientLeft, call: c})
+		l.respondVoided(c)
+		l.processEvents()
+	}
+}
