--- a/review/standin2/sentry.go
+++ b/review/standin2/sentry.go
@@ -47,6 +47,7 @@
 	settings map[string]any
 	limits   map[string]any
 	tune     func(i int, settings map[string]any) // if set, changes the settings of sentry i
+	spread   time.Duration                        // between the starts of two sentries
 	sentries []*sentry
 }
 
@@ -99,6 +100,7 @@
 		if err := d.startProcess(s); err != nil {
 			return err
 		}
+		time.Sleep(d.spread)
 	}
 	for _, s := range d.sentries {
 		if err := d.awaitReady(s, 30*time.Second); err != nil {
--- a/review/standin2/slow.go
+++ b/review/standin2/slow.go
@@ -49,6 +49,7 @@
 		toldWithin  = 6 * time.Second
 		grace       = 250 * time.Millisecond
 	)
+	e.length = min(e.length, 45*time.Second)
 	zones := []string{"bergen-sentrum", "bergen-aasane"}
 	var mu sync.Mutex
 	drainsFrom := map[string]time.Duration{} // when a worker counts as told to drain, by id
