--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -46,6 +46,7 @@
 	listDelay  func() time.Duration // if set, how late discovery answers
 	isDown     bool                 // discovery is silent: a call that comes now gets no answer, nor does one that waits
 	lastDown   time.Time            // when it was down last
+	turnsAway  func() bool          // if set, whether discovery turns a call away
 	stateNew   chan struct{}
 }
 
@@ -87,8 +88,13 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	p.mu.Lock()
 	called := time.Now()
-	generation, changed, delay, isDown := p.generation, p.changed, p.listDelay, p.isDown
+	generation, changed, delay, isDown, turnsAway := p.generation, p.changed, p.listDelay, p.isDown, p.turnsAway
 	p.mu.Unlock()
+	if turnsAway != nil && turnsAway() {
+		p.rec.line("discovery: a call of %q was turned away", r.URL.RawQuery)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if isDown { // the call has fallen silent
 		<-r.Context().Done()
 		p.rec.line("discovery: a silent call of %q was given up", r.URL.RawQuery)
