--- a/review/standin2/sentry.go
+++ b/review/standin2/sentry.go
@@ -22,22 +22,23 @@
 	clients *clients
 }
 
-// freeAddress returns a free loopback address.
+// freeAddress returns a free loopback address, with a port below those that outgoing connections take.
 func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.Intn(12000))
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp", address); err == nil {
+				c.Close()
+				return address, nil
+			}
+			continue
+		}
+		if ln, err := net.Listen("tcp", address); err == nil {
+			ln.Close()
+			return address, nil
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // deployment is a small deployment of sentries on one platform.
