--- a/review/standin2/oneway.go
+++ b/review/standin2/oneway.go
@@ -73,7 +73,7 @@
 			return e.between(time.Millisecond, 3*time.Millisecond) // the handshake
 		}
 		w.serve = func(c *workerConn, s statement) {
-			came := e.rec.now()
+			came := e.rec.at(s.came)
 			n := p.current()
 			mu.Lock()
 			key := sentryKey{askedAt[s.id], s.name}
@@ -132,5 +132,5 @@
 		both.Wait()
 	})
 	e.rec.line("%d bookings, two requests each", total)
-	return broken, nil
+	return broken, d.allRun()
 }
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -27,6 +27,9 @@
 // now returns the time since the start of the case.
 func (r *record) now() time.Duration { return time.Since(r.start) }
 
+// at returns a time as one since the start of the case.
+func (r *record) at(t time.Time) time.Duration { return t.Sub(r.start) }
+
 // line writes one line with the present time.
 func (r *record) line(format string, args ...any) { r.lineAt(r.now(), format, args...) }
 
--- a/review/standin2/slow.go
+++ b/review/standin2/slow.go
@@ -61,7 +61,7 @@
 		}
 		defer w.close()
 		w.serve = func(c *workerConn, s statement) {
-			came := e.rec.now()
+			came := e.rec.at(s.came)
 			mu.Lock()
 			from, drains := drainsFrom[w.id]
 			bad := drains && came > from+toldWithin+grace+slack
@@ -146,5 +146,5 @@
 		ask(e, s, class, text, id, patience)
 	})
 	e.rec.line("%d requests sent", total)
-	return broken, nil
+	return broken, d.allRun()
 }
