edge: input of clients in a buffer of the connection; gauges of the bytes held by purpose

The event library's ring buffers also hold more than the bytes that were counted.

Change: received bytes lie in edge/input.go, borrowed from the event library while they are parsed and copied only if something is left; its own inbound buffer stays empty. edge/held_bytes.go counts input, requests, answers and unsent output for each connection and in sum, published as dunegrade_edge_held_bytes. A request's buffer is freed once no further submission can be made, not when its slot is used again.

--- a/edge/call.go
+++ b/edge/call.go
@@ -30,7 +30,8 @@
 	slot         int32       // index in loop.calls
 	gen          uint32      // generation of the slot
 	client       *clientConn // nil once the call is answered or its client has left
-	request      []byte      // head and body, as sent to workers
+	request      []byte      // head and body, as sent to workers; empty once no further submission is made
+	heldRequest  int         // capacity of request that loop.held and the client's held include
 	bodyOffset   int         // where the body starts in request
 	product      int
 	isHead       bool // a HEAD request, whose answer has no body
@@ -79,12 +80,8 @@
 // newCall returns an empty call in a free slot. It may reuse the request buffer of the slot's previous call.
 func (l *loop) newCall() *call {
 	slot, c := l.calls.get()
-	request := c.request
-	if cap(request) > maxReusedBuffer { // a single large request must not pin its memory forever
-		request = nil
-	}
 	l.serial++
-	*c = call{slot: slot, gen: c.gen + 1, serial: l.serial, request: request[:0], lastEnding: logic.OK}
+	*c = call{slot: slot, gen: c.gen + 1, serial: l.serial, request: c.request[:0], lastEnding: logic.OK}
 	return c
 }
 
@@ -94,6 +91,7 @@
 		return
 	}
 	c.freed = true
+	l.releaseRequest(c)
 	if c.externalID != 0 {
 		delete(l.externalIDs, c.externalID)
 	}
--- a/edge/client.go
+++ b/edge/client.go
@@ -34,14 +34,14 @@
 	pipelined        []pipelinedCall // calls admitted behind call, in order of arrival
 	closeAfterAnswer bool            // no further requests are admitted; the connection closes after the last answer
 	inputDropped     bool            // pipelined input was discarded because it exceeded a limit
-	buffered         []byte          // bytes received before the connection was enrolled, not consumed yet
+	input            inputBuffer
 	openedAt         logic.Nanos
 	stateSince       logic.Nanos // start of the current state
 	checkAt          logic.Nanos // time of the next scheduled check; 0 when none is scheduled
 	answersSent      uint64
 	lastUnsent       int         // unsent bytes at the last check
 	unsentSince      logic.Nanos // time since which lastUnsent has not changed
-	countedBytes     int         // received but unconsumed bytes that are included in loop.heldBytes
+	held             heldBytes   // memory held for the connection, included in loop.held
 	receivedBytes    int64       // total bytes received
 	consumedBytes    int64       // total bytes consumed
 	arrivals         []arrival   // arrival times of the unconsumed bytes, oldest first
@@ -54,41 +54,6 @@
 	answer []byte
 }
 
-// arrival records that all bytes of a connection's input before offset were received by the time at.
-type arrival struct {
-	offset int64 // in bytes from the start of the connection
-	at     logic.Nanos
-}
-
-// maxArrivals bounds the arrival records of one connection.
-const maxArrivals = 64
-
-// recordArrival records the arrival time of newly received bytes. A pipelined statement's timeout runs from its arrival,
-// not from when its turn comes. Beyond maxArrivals records, new bytes get the time of the last one: a time that is too
-// early does no harm.
-func (cc *clientConn) recordArrival() {
-	n := len(cc.buffered) + cc.c.InboundBuffered() - cc.countedBytes
-	if n <= 0 {
-		return
-	}
-	cc.receivedBytes += int64(n)
-	if last := len(cc.arrivals) - 1; len(cc.arrivals) >= maxArrivals || last >= 0 && cc.arrivals[last].at == cc.l.now {
-		cc.arrivals[last].offset = cc.receivedBytes
-		return
-	}
-	cc.arrivals = append(cc.arrivals, arrival{cc.receivedBytes, cc.l.now})
-}
-
-// arrivalTime returns when the last of the next size unconsumed bytes was received.
-func (cc *clientConn) arrivalTime(size int) logic.Nanos {
-	for _, a := range cc.arrivals {
-		if a.offset >= cc.consumedBytes+int64(size) {
-			return a.at
-		}
-	}
-	return cc.l.now
-}
-
 // maxPipelinedTxns is the maximum number of txns of one connection that are admitted behind the first.
 const maxPipelinedTxns = 7
 
@@ -119,13 +84,14 @@
 func (l *loop) openClient(c gnet.Conn, accepted *acceptedClient) {
 	slot, cc := l.clientConns.get()
 	reused, pipelined, arrivals := cc.protocol, cc.pipelined[:0], cc.arrivals[:0]
-	*cc = clientConn{pipelined: pipelined, arrivals: arrivals, l: l, c: c, slot: slot, gen: cc.gen + 1, openedAt: l.now, stateSince: l.now, buffered: accepted.buffered}
+	*cc = clientConn{pipelined: pipelined, arrivals: arrivals, l: l, c: c, slot: slot, gen: cc.gen + 1, openedAt: l.now, stateSince: l.now}
 	cc.protocol = l.p.protocol.newClientProtocol(cc, reused)
 	c.SetContext(cc)
 	l.stats.clientsAccepted++
 	cc.serial = l.stats.clientsAccepted
 	l.scheduleClientCheck(cc, l.now+logic.Nanos(min(l.p.cfg.ClientLimits.IdleTimeout, l.p.cfg.ClientLimits.HeadTimeout)))
-	if len(cc.buffered) > 0 {
+	if len(accepted.buffered) > 0 {
+		cc.receive(accepted.buffered)
 		cc.read()
 	}
 	if l.draining && !cc.closed { // the connection has returned from a streamRelay: a draining process accepts no new ones
@@ -168,7 +134,9 @@
 	case stateAwaitingAnswer:
 		nextCheck = l.now + logic.Nanos(limits.IdleTimeout)
 	}
-	if unsent := cc.c.OutboundBuffered(); unsent > 0 || cc.state == stateFlushing {
+	unsent := cc.c.OutboundBuffered()
+	cc.setHeldUnsent(unsent)
+	if unsent > 0 || cc.state == stateFlushing {
 		if unsent == 0 {
 			cc.close(cc.closeReason)
 			return
@@ -232,8 +200,8 @@
 		cc.pipelined[i] = pipelinedCall{}
 	}
 	cc.pipelined = cc.pipelined[:0]
-	l.heldBytes -= cc.countedBytes
-	cc.c, cc.buffered, cc.countedBytes = nil, nil, 0
+	cc.releaseMemory()
+	cc.c = nil
 	cc.gen++
 	l.clientConns.put(cc.slot)
 }
@@ -244,6 +212,7 @@
 		return
 	}
 	l := cc.l
+	l.releaseRequest(c)
 	c.client = nil
 	if !c.admitted || c.answered {
 		l.releaseCall(c)
@@ -255,104 +224,6 @@
 	l.endWaitingSubs(c)
 }
 
-// accountHeldBytes updates the total of received but unconsumed bytes and enforces its limit. Each connection's input is
-// bounded, but many connections together could still exhaust memory. Over the limit, the connection that holds the most bytes
-// loses its input.
-func (cc *clientConn) accountHeldBytes() {
-	l := cc.l
-	if cc.closed {
-		return
-	}
-	n := len(cc.buffered) + cc.c.InboundBuffered()
-	l.heldBytes += n - cc.countedBytes
-	cc.countedBytes = n
-	limit := l.p.cfg.ClientLimits.MaxHeldBytes
-	for limit > 0 && l.heldBytes > limit {
-		largest := cc
-		for _, other := range l.clientConns.items {
-			if !other.closed && other.c != nil && other.countedBytes > largest.countedBytes {
-				largest = other
-			}
-		}
-		l.stats.overHeldBytes++
-		if largest.call != nil && largest.call.admitted { // the admitted call is still answered; input behind it is discarded
-			largest.closeAfterAnswer, largest.inputDropped, largest.call.keepAlive = true, true, false
-			largest.discardInput(len(largest.input()))
-			l.heldBytes -= largest.countedBytes
-			largest.countedBytes = 0
-		} else {
-			largest.abort(endOverfull)
-		}
-	}
-}
-
-// input returns the received but unconsumed bytes. They stay in the input until discardInput consumes them.
-func (cc *clientConn) input() []byte {
-	if len(cc.buffered) > 0 {
-		if n := cc.c.InboundBuffered(); n > 0 {
-			more, _ := cc.c.Peek(n)
-			cc.buffered = append(cc.buffered, more...)
-			cc.c.Discard(n)
-		}
-		return cc.buffered
-	}
-	n := cc.c.InboundBuffered()
-	if n == 0 {
-		return nil
-	}
-	b, _ := cc.c.Peek(n)
-	return b
-}
-
-// discardInput consumes the first n bytes of the input.
-func (cc *clientConn) discardInput(n int) {
-	if n == 0 {
-		return
-	}
-	cc.consumedBytes += int64(n)
-	for len(cc.arrivals) > 0 && cc.arrivals[0].offset <= cc.consumedBytes {
-		cc.arrivals = cc.arrivals[:copy(cc.arrivals, cc.arrivals[1:])]
-	}
-	if len(cc.buffered) > 0 {
-		if cc.buffered = cc.buffered[n:]; len(cc.buffered) == 0 {
-			cc.buffered = nil
-		}
-		return
-	}
-	cc.c.Discard(n)
-}
-
-// read processes the received input and accounts for what remains of it.
-func (cc *clientConn) read() {
-	cc.parseInput()
-	cc.accountHeldBytes()
-}
-
-// parseInput parses requests from the input until it is incomplete. It stops after a complete request unless further ones
-// may be pipelined, since answers are sent in the order of requests.
-func (cc *clientConn) parseInput() {
-	l := cc.l
-	for !cc.closed {
-		in := cc.input()
-		if cc.state == stateReading || cc.state == stateAwaitingAnswer && cc.protocol.supportsPipelining() && cc.canPipeline() {
-			if len(in) == 0 || !cc.protocol.read(in) {
-				return
-			}
-			continue
-		}
-		// The event loop cannot stop reading, so a client that pipelines without limit would exhaust memory. Over the
-		// limit, further requests are discarded and the connection closes after its answer.
-		if len(in) > l.p.cfg.ClientLimits.MaxPipelinedBytes || cc.state == stateFlushing {
-			cc.discardInput(len(in))
-			cc.closeAfterAnswer, cc.inputDropped = true, cc.state != stateFlushing
-			if cc.call != nil {
-				cc.call.keepAlive = false
-			}
-		}
-		return
-	}
-}
-
 // admitCall hands a completely received txn to the module and sets its expiry timers.
 func (cc *clientConn) admitCall(c *call) {
 	l := cc.l
@@ -384,7 +255,9 @@
 	if cc.closed {
 		return
 	}
-	if unsent := cc.c.OutboundBuffered(); unsent > 0 {
+	unsent := cc.c.OutboundBuffered()
+	cc.setHeldUnsent(unsent)
+	if unsent > 0 {
 		if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes {
 			cc.l.stats.slowReaders++
 			cc.abort(endSlowReader)
@@ -403,6 +276,7 @@
 	for i := range cc.pipelined {
 		if cc.pipelined[i].call == c {
 			cc.pipelined[i].answer = append([]byte(nil), b...)
+			cc.addHeldAnswer(len(b))
 		}
 	}
 }
@@ -417,6 +291,7 @@
 		if cc.pipelined[i].call == c {
 			cc.pipelined[i].call = nil
 			cc.closeAfterAnswer = cc.closeAfterAnswer || !c.keepAlive || c.closesConn
+			cc.l.releaseRequest(c)
 			c.answered, c.client = true, nil
 			cc.l.releaseCall(c)
 			return
@@ -430,6 +305,7 @@
 	l, c := cc.l, cc.call
 	closesConn := c.closesConn
 	cc.closeAfterAnswer = cc.closeAfterAnswer || !c.keepAlive || closesConn
+	l.releaseRequest(c)
 	c.answered, c.client, cc.call = true, nil, nil
 	cc.answersSent++
 	l.releaseCall(c)
@@ -440,6 +316,7 @@
 		cc.pipelined = cc.pipelined[:n]
 		if cc.call = next.call; cc.call == nil {
 			cc.answersSent++
+			cc.addHeldAnswer(-len(next.answer))
 			cc.write(next.answer)
 		}
 	}
@@ -461,7 +338,7 @@
 	}
 	cc.state, cc.stateSince = stateReading, l.now
 	cc.protocol.startNextRequest()
-	if l.draining && len(cc.input()) == 0 {
+	if l.draining && len(cc.input.data) == 0 {
 		l.drainClient(cc)
 		return
 	}
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -98,6 +98,7 @@
 	case partFixedBody:
 		n := int(min(hc.remaining, int64(len(in))))
 		cc.call.request = append(cc.call.request, in[:n]...)
+		cc.call.accountRequest()
 		cc.discardInput(n)
 		if hc.remaining -= int64(n); hc.remaining == 0 {
 			cc.admitCall(cc.call)
@@ -184,7 +185,7 @@
 		return true
 	}
 	l.scheduleClientCheck(cc, l.now+logic.Nanos(l.p.cfg.ClientLimits.BodyTimeout))
-	if expectContinue && len(cc.input()) == 0 {
+	if expectContinue && len(cc.input.data) == 0 {
 		cc.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	return !cc.closed
@@ -208,6 +209,7 @@
 		return false
 	}
 	c.request = append(c.request, data...)
+	c.accountRequest()
 	cc.discardInput(consumed)
 	if done {
 		size, digitsEnd := len(c.request)-c.bodyOffset, c.bodyOffset-len("\r\n\r\n")
@@ -280,6 +282,7 @@
 	head = strconv.AppendInt(head, int64((timeout-slack)/time.Millisecond), 10)
 	head = append(head, "\r\n"...)
 	c.request, c.txn = head, txn
+	c.accountRequest()
 	return true
 }
 
@@ -382,7 +385,7 @@
 		cc.call, c.client = nil, nil
 		l.releaseCall(c)
 	}
-	cc.discardInput(len(cc.input()))
+	cc.discardAllInput()
 	l.reply(cc, status, message+"\n", 0, false)
 }
 
--- a/edge/closing.go
+++ b/edge/closing.go
@@ -83,7 +83,7 @@
 // quiescent reports whether the connection has no work left: no request or part of one has been received, and all answers
 // have left this process.
 func (cc *clientConn) quiescent() bool {
-	return cc.state == stateReading && cc.call == nil && cc.protocol.betweenRequests() && len(cc.input()) == 0 && cc.c.OutboundBuffered() == 0
+	return cc.state == stateReading && cc.call == nil && cc.protocol.betweenRequests() && len(cc.input.data) == 0 && cc.c.OutboundBuffered() == 0
 }
 
 // closeIfQuiescent closes the connection if it is quiescent, and reports whether it did. No input can be read between the
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -632,11 +632,11 @@
 	l.post(func() {
 		for _, cc := range l.clientConns.items {
 			if !cc.closed && cc.c != nil {
-				held += cc.c.InboundBuffered() + len(cc.buffered)
+				held += cc.c.InboundBuffered() + cap(cc.input.storage)
 			}
 		}
-		if held != l.heldBytes {
-			t.Errorf("%d bytes are held, but heldBytes is %d", held, l.heldBytes)
+		if held != l.held.input {
+			t.Errorf("%d bytes of input are held, but %d are counted", held, l.held.input)
 		}
 		close(done)
 	})
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	maxReusedBuffer = 64 << 10         // size in bytes above which a buffer is freed rather than kept for reuse
+	maxReusedBuffer = 64 << 10         // size in bytes above which a worker connection's buffer is freed rather than kept for reuse
 	minWakeInterval = time.Millisecond // minimum time between two wake-ups of a loop by its timers
 )
 
@@ -56,7 +56,7 @@
 	dialQueue          []*pool    // pools whose submissions wait for connections to be opened, in the order of service
 	heldPools          []*pool    // buffer of openQueuedConns
 	roomChanged        bool       // whether openQueuedConns may be able to open connections
-	heldBytes          int        // bytes received from clients and not consumed yet
+	held               heldBytes  // memory held for all clients
 	timers             timerHeap
 
 	events        []event
@@ -254,7 +254,8 @@
 	l.beginCallback()
 	switch ctx := c.Context().(type) {
 	case *clientConn:
-		ctx.recordArrival()
+		chunk, _ := c.Next(-1) // all of it, so that the event library keeps none
+		ctx.receive(chunk)
 		ctx.read()
 	case *workerConn:
 		ctx.read()
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -129,7 +129,7 @@
 func (pc *pgClient) closeWithError(reason endReason, code, text string) {
 	cc := pc.cc
 	l := cc.l
-	cc.discardInput(len(cc.input()))
+	cc.discardAllInput()
 	l.scratch = pgwire.AppendError(l.scratch[:0], true, code, text, "")
 	cc.write(l.scratch)
 	cc.close(reason)
@@ -265,6 +265,7 @@
 	c.txn = logic.Txn{Product: info.Product, Customer: info.Customer, Key: info.Key, Cost: info.Cost, Repeat: info.Repeat,
 		Expiry: max(l.now, cc.arrivalTime(size)+info.Timeout)} // the module gives up a txn that has already expired
 	c.request = append(c.request[:0], text...)
+	c.accountRequest()
 	c.timeoutStart, c.timeoutEnd = info.TimeoutStart, info.TimeoutEnd
 	l.externalIDs[info.ID] = struct{}{}
 	cc.discardInput(size)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -82,7 +82,7 @@
 		r.buffered = append([]byte(nil), in...)
 		wc.c.Discard(size)
 	}
-	r.clientInput = append([]byte(nil), cc.input()...)
+	r.clientInput = append([]byte(nil), cc.input.data...)
 	var err error
 	if r.worker, err = connFromFD(wc.c.Dup()); err == nil {
 		if r.client, err = connFromFD(cc.c.Dup()); err != nil {
@@ -97,11 +97,12 @@
 	l.stats.streaming++
 	l.stats.streamed++
 	l.stats.settled++
+	l.releaseRequest(c)
 	c.answered, c.client, cc.call = true, nil, nil
 	c.subs[n].state, c.subs[n].conn = subStreaming, nil
 	gnetConn := cc.c
-	l.heldBytes -= cc.countedBytes
-	cc.closed, cc.c, cc.countedBytes = true, nil, 0
+	cc.releaseMemory()
+	cc.closed, cc.c = true, nil
 	cc.gen++
 	l.clientConns.put(cc.slot)
 	l.eventLoop.Close(gnetConn)
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -43,6 +43,7 @@
 	openClients     int64
 	openTxns        int64
 	openWorkerConns int64
+	held            heldBytes
 	poolsHeld       int64 // pools for which a limit leaves no room for the connections that submissions wait for
 }
 
@@ -55,6 +56,7 @@
 func (l *loop) publishStats() {
 	s := l.stats
 	s.openClients, s.openTxns, s.openWorkerConns = l.clientCount.Load(), int64(l.calls.inUse()), int64(l.workerConns.inUse())
+	s.held = l.held
 	s.poolsHeld = int64(len(l.dialQueue))
 	l.statsSnapshot.Store(&s)
 }
@@ -78,13 +80,14 @@
 	descClientEnds       = desc("client_connections_ended_total", "Connections of clients by why they ended.", "reason")
 	descOwedAtEnd        = desc("requests_owed_at_end_total", "Requests unanswered when this process ended their connection; any is a defect, but for slow readers.", "reason")
 	descGauge            = desc("now", "Things held at this moment.", "what")
+	descHeldBytes        = desc("held_bytes", "Memory held for clients by purpose.", "purpose")
 	descHostVoided       = desc("unanswered_total", "Txns that the host had to void at their expiry; any is a defect.")
 )
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descTxns, descAdmitted, descEndings, descSent, descRefused, descDials, descMalformedAnswers,
-		descClientEnds, descOwedAtEnd, descGauge, descHostVoided} {
+		descClientEnds, descOwedAtEnd, descGauge, descHeldBytes, descHostVoided} {
 		ch <- d
 	}
 }
@@ -125,6 +128,9 @@
 		count(descDials, s.dialsFailed, "false")
 		count(descMalformedAnswers, s.malformedAnswers)
 		count(descHostVoided, s.hostVoided)
+		for purpose, size := range map[string]int{"input": s.held.input, "requests": s.held.requests, "answers": s.held.answers, "unsent": s.held.unsent} {
+			ch <- prometheus.MustNewConstMetric(descHeldBytes, prometheus.GaugeValue, float64(size), sentry, purpose)
+		}
 		gauge("client-connections", s.openClients)
 		gauge("worker-connections", s.openWorkerConns)
 		gauge("workers-without-room", s.poolsHeld)
