edge: the memory held for clients is bounded in sum: input, requests and answers

Cause: only input that was not parsed counted for the limit. Copies of requests in calls (pg.go, startCall), answers that wait for their turn and answers that are not read were bounded for each connection only; the HTTP edge had no bound in sum at all.

Change: a connection may hold a quarter of what is left of MaxHeldBytes (memory/4; HTTP: (door (held ...))), 4 kB in any case, so the limit is not reached however many connections hold something. What is above gets 53300 or 503. A large request that is all of the input becomes the call's without a copy.

--- a/config/edge.go
+++ b/config/edge.go
@@ -64,7 +64,9 @@
 	MaxConnections    int
 	MaxOpenTxns       int
 	MaxPipelinedBytes int // received and not yet parsed bytes of a connection
-	MaxHeldBytes      int // received and not yet processed bytes of all connections of a loop; 0 means unlimited
+	// MaxHeldBytes bounds the memory held for all connections of a loop together: input, requests, answers and unsent output.
+	// A connection may hold a part of what is left of it. 0 means unlimited.
+	MaxHeldBytes int
 	// OverflowConnections is how many connections are accepted beyond MaxConnections, while idle ones are closed to make
 	// room.
 	OverflowConnections int
@@ -272,6 +274,7 @@
 		MaxPipelinedBytes: int(clients.Bytes("pipeline", 64<<10, 1<<10, 1<<24)),
 		MaxStreams:        int(clients.Int("streams", 1024, 1, 1<<16)),
 	}
+	e.readHeldLimit(clients)
 	clients.RejectUnknown()
 	workers := f.OptionalField("workers")
 	e.WorkerLimits = WorkerPoolLimits{
@@ -284,6 +287,25 @@
 	workers.RejectUnknown()
 }
 
+const (
+	// defaultHeldBytes is the limit on the memory held for clients unless the limits on single requests need more.
+	defaultHeldBytes = 256 << 20
+	// minHeldBodies is how many of the largest request bodies MaxHeldBytes has to hold: a connection may hold only a part of
+	// what is free, and its buffer may be twice as large as what it holds.
+	minHeldBodies = 16
+)
+
+// readHeldLimit reads the limit on the memory held for all clients. The limits on single requests have to be read before.
+func (e *Edge) readHeldLimit(clients *Form) {
+	least := minHeldBodies * max(e.ClientLimits.MaxBodyBytes, e.ClientLimits.MaxHeadBytes)
+	held := clients.Bytes("held", max(defaultHeldBytes, least), 1, 1<<40)
+	if held < least {
+		clients.Field("held").AddError(fmt.Sprintf("%d bytes", held), fmt.Sprintf("at least %d, %d times the largest of (head ...) and (body ...)",
+			least, minHeldBodies))
+	}
+	e.ClientLimits.MaxHeldBytes = int(held)
+}
+
 // readProducts reads the products and customers. Zones and WorkerLimits have to be read before.
 func (e *Edge) readProducts(f *Form) {
 	seen := map[string]bool{}
--- a/edge/call.go
+++ b/edge/call.go
@@ -91,19 +91,16 @@
 		return
 	}
 	c.freed = true
-	l.releaseRequest(c)
 	if c.externalID != 0 {
 		delete(l.externalIDs, c.externalID)
 	}
 	if c.traced {
 		l.recorder.TxnDone(l.now, c.id())
 	}
-	if c.client != nil {
-		if c.client.call == c {
-			c.client.call = nil
-		}
-		c.client = nil
+	if c.client != nil && c.client.call == c {
+		c.client.call = nil
 	}
+	c.detachClient()
 	c.gen++ // findCall no longer returns this call for timers and late events
 	l.calls.put(c.slot)
 }
--- a/edge/client.go
+++ b/edge/client.go
@@ -212,8 +212,7 @@
 		return
 	}
 	l := cc.l
-	l.releaseRequest(c)
-	c.client = nil
+	c.detachClient()
 	if !c.admitted || c.answered {
 		l.releaseCall(c)
 		return
@@ -258,7 +257,7 @@
 	unsent := cc.c.OutboundBuffered()
 	cc.setHeldUnsent(unsent)
 	if unsent > 0 {
-		if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes {
+		if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes || unsent > max(minUnsentAllowance, cc.l.heldAllowance()) {
 			cc.l.stats.slowReaders++
 			cc.abort(endSlowReader)
 			return
@@ -267,12 +266,18 @@
 	}
 }
 
-// answer sends c's answer, or holds it until the answers before it are sent.
+// answer sends c's answer, or holds it until the answers before it are sent. If the connection may not hold it, an error takes
+// its place.
 func (cc *clientConn) answer(c *call, b []byte) {
 	if c == cc.call {
 		cc.write(b)
 		return
 	}
+	if len(b) > minHeldAllowance && !cc.mayHold(len(b)) {
+		cc.l.stats.overHeldBytes++
+		cc.protocol.writeVoided(c)
+		return
+	}
 	for i := range cc.pipelined {
 		if cc.pipelined[i].call == c {
 			cc.pipelined[i].answer = append([]byte(nil), b...)
@@ -291,8 +296,8 @@
 		if cc.pipelined[i].call == c {
 			cc.pipelined[i].call = nil
 			cc.closeAfterAnswer = cc.closeAfterAnswer || !c.keepAlive || c.closesConn
-			cc.l.releaseRequest(c)
-			c.answered, c.client = true, nil
+			c.answered = true
+			c.detachClient()
 			cc.l.releaseCall(c)
 			return
 		}
@@ -305,8 +310,8 @@
 	l, c := cc.l, cc.call
 	closesConn := c.closesConn
 	cc.closeAfterAnswer = cc.closeAfterAnswer || !c.keepAlive || closesConn
-	l.releaseRequest(c)
-	c.answered, c.client, cc.call = true, nil, nil
+	c.answered, cc.call = true, nil
+	c.detachClient()
 	cc.answersSent++
 	l.releaseCall(c)
 	for len(cc.pipelined) > 0 && !cc.closed && cc.call == nil {
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -85,7 +85,7 @@
 func (hc *httpClient) terminate(reason endReason) {
 	text := "the process stops"
 	if reason == endOverfull {
-		text = "too much was sent ahead of its answers"
+		text = "declined: more was sent than can be held"
 	}
 	hc.cc.l.refuse(hc.cc, 503, text)
 }
@@ -97,6 +97,9 @@
 		return hc.parseHead(in)
 	case partFixedBody:
 		n := int(min(hc.remaining, int64(len(in))))
+		if !hc.mayTakeBody(n) {
+			return false
+		}
 		cc.call.request = append(cc.call.request, in[:n]...)
 		cc.call.accountRequest()
 		cc.discardInput(n)
@@ -152,7 +155,6 @@
 	c := l.newCall()
 	c.client, cc.call = cc, c
 	if !l.classify(c, r) {
-		cc.call, c.client = nil, nil
 		l.releaseCall(c)
 		l.stats.noRoute++
 		cc.discardInput(n)
@@ -191,6 +193,16 @@
 	return !cc.closed
 }
 
+// mayTakeBody reports whether the connection may hold size more bytes of the body. If not, the request is refused.
+func (hc *httpClient) mayTakeBody(size int) bool {
+	if hc.cc.mayHold(size) {
+		return true
+	}
+	hc.cc.l.stats.overHeldBytes++
+	hc.terminate(endOverfull)
+	return false
+}
+
 // parseChunk reads part of a chunked body, and reports whether more input may be processed.
 func (hc *httpClient) parseChunk(in []byte) bool {
 	cc := hc.cc
@@ -208,6 +220,9 @@
 		l.refuse(cc, 413, "the body is larger than the limit")
 		return false
 	}
+	if !hc.mayTakeBody(len(data)) {
+		return false
+	}
 	c.request = append(c.request, data...)
 	c.accountRequest()
 	cc.discardInput(consumed)
@@ -382,7 +397,6 @@
 func (l *loop) refuse(cc *clientConn, status int, message string) {
 	l.stats.refused++
 	if c := cc.call; c != nil {
-		cc.call, c.client = nil, nil
 		l.releaseCall(c)
 	}
 	cc.discardAllInput()
--- a/edge/harden_test.go
+++ b/edge/harden_test.go
@@ -650,3 +650,56 @@
 		}
 	}
 }
+
+// The requests held for all connections together must stay within the limit, as many requests of a size that is allowed
+// could exhaust memory. Each client must get an answer, and a client with a small request must be served.
+func TestTotalRequestBytesAreBounded(t *testing.T) {
+	const limit, clients, bodyBytes = 1 << 20, 60, 60 << 10
+	var workers []*stubWorker
+	for range 10 { // enough that the module declines no request
+		workers = append(workers, newStubWorker(t, func(c net.Conn, req *http.Request, b []byte) bool {
+			if req.ContentLength > 0 {
+				return hang(c, req, b)
+			}
+			return echo(c, req, b)
+		}))
+	}
+	r := startEdge(t, "", workers...)
+	l := r.p.loops[0]
+	r.onLoop(func(*loop) { r.p.cfg.ClientLimits.MaxHeldBytes = limit })
+	request := fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: t\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
+	most, refused := 0, 0
+	var conns []net.Conn
+	for range clients {
+		c := r.dial()
+		if _, err := io.WriteString(c, request); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+		r.onLoop(func(*loop) { most = max(most, l.held.total()) })
+	}
+	if answers, _ := r.roundTrip(get("/ask"), "GET"); answers[0].StatusCode != 200 {
+		t.Errorf("a small request beside the large ones got status %d, want 200", answers[0].StatusCode)
+	}
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("client %d: %v", i, err)
+		}
+		if resp.StatusCode == 503 {
+			refused++
+		}
+	}
+	r.onLoop(func(*loop) { most = max(most, l.held.total()) })
+	if most > limit || refused == 0 || refused == clients {
+		t.Errorf("at most %d bytes were held, %d of %d requests refused; want at most %d, and some refused", most, refused, clients, limit)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	waitFor(t, "all memory to be released", func() bool {
+		total := 0
+		r.onLoop(func(l *loop) { total = l.held.total() })
+		return total == 0
+	})
+}
--- a/edge/held_bytes.go
+++ b/edge/held_bytes.go
@@ -1,5 +1,7 @@
 package edge
 
+import "math"
+
 // heldBytes is the memory that is held for one client, or for all clients of a loop, in bytes by purpose.
 type heldBytes struct {
 	input    int // received and not consumed
@@ -38,14 +40,15 @@
 	cc.l.held.requests += growth
 }
 
-// releaseRequest frees the request buffer of a call that makes no further submission. A small buffer is kept for the slot's
-// next call.
-func (l *loop) releaseRequest(c *call) {
-	l.held.requests -= c.heldRequest
-	if c.client != nil {
-		c.client.held.requests -= c.heldRequest
+// detachClient separates a call from its client, which has its answer or has left. The call makes no further submission, so
+// its request is freed; a small buffer is kept for the slot's next call.
+func (c *call) detachClient() {
+	if c.client == nil {
+		return
 	}
-	c.heldRequest = 0
+	c.client.held.requests -= c.heldRequest
+	c.client.l.held.requests -= c.heldRequest
+	c.client, c.heldRequest = nil, 0
 	c.request = c.request[:0]
 	if cap(c.request) > maxKeptRequestBytes {
 		c.request = nil
@@ -66,30 +69,45 @@
 	cc.held, cc.input = heldBytes{}, inputBuffer{}
 }
 
-// limitHeldBytes accounts for the connection's input and enforces the limit on the input of all connections. Each
-// connection's input is bounded, but many connections together could still exhaust memory. Over the limit, the connection
-// that holds the most bytes loses its input.
+const (
+	// heldShareDivisor sets how much of the free memory one connection may hold. The more connections hold memory, the less
+	// each of them may hold, so that some is always free for the others.
+	heldShareDivisor = 4
+	// minHeldAllowance is what each connection may hold in any case, in bytes: enough for usual requests.
+	minHeldAllowance = 4 << 10
+	// minUnsentAllowance is how much unsent output each connection may have in any case, in bytes: enough for the largest value.
+	minUnsentAllowance = 64 << 10
+)
+
+// heldAllowance returns how many bytes one connection may hold now. Each connection's input, requests and answers are bounded,
+// but many connections together could still exhaust memory.
+func (l *loop) heldAllowance() int {
+	limit := l.p.cfg.ClientLimits.MaxHeldBytes
+	if limit == 0 {
+		return math.MaxInt
+	}
+	return max(minHeldAllowance, (limit-l.held.total())/heldShareDivisor)
+}
+
+// mayHold reports whether the connection may hold size more bytes.
+func (cc *clientConn) mayHold(size int) bool { return cc.held.total()+size <= cc.l.heldAllowance() }
+
+// limitHeldBytes accounts for the connection's input. A connection that holds more than its allowance loses its input: it
+// gets an error behind the answers that are still owed to it, and is closed.
 func (cc *clientConn) limitHeldBytes() {
-	l := cc.l
 	if cc.closed {
 		return
 	}
 	cc.input.retain()
 	cc.setHeldInput(cc.input.memory())
-	limit := l.p.cfg.ClientLimits.MaxHeldBytes
-	for limit > 0 && l.held.input > limit {
-		largest := cc
-		for _, other := range l.clientConns.items {
-			if !other.closed && other.c != nil && other.held.input > largest.held.input {
-				largest = other
-			}
-		}
-		l.stats.overHeldBytes++
-		if largest.call != nil && largest.call.admitted { // the admitted call is still answered; input behind it is discarded
-			largest.dropInput()
-			largest.setHeldInput(largest.input.memory())
-		} else {
-			largest.abort(endOverfull)
-		}
+	if len(cc.input.data) == 0 || cc.mayHold(0) || cc.state == stateFlushing {
+		return
+	}
+	cc.l.stats.overHeldBytes++
+	if cc.call != nil && cc.call.admitted {
+		cc.dropInput()
+	} else {
+		cc.protocol.terminate(endOverfull)
 	}
+	cc.setHeldInput(cc.input.memory())
 }
--- a/edge/input.go
+++ b/edge/input.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// detach gives the buffer's own memory up if the first n bytes are all that it holds; the caller keeps its slice of them. It
+// reports whether it did.
+func (b *inputBuffer) detach(n int) bool {
+	if b.borrowed || len(b.data) != n {
+		return false
+	}
+	b.data, b.storage = nil, nil
+	return true
+}
+
 // memory returns the buffer's own memory in bytes.
 func (b *inputBuffer) memory() int { return cap(b.storage) }
 
@@ -94,11 +104,35 @@
 	if n == 0 {
 		return
 	}
+	cc.countConsumed(n)
+	cc.input.consume(n)
+}
+
+// countConsumed counts n bytes as consumed, and drops the arrival records that they end.
+func (cc *clientConn) countConsumed(n int) {
 	cc.consumedBytes += int64(n)
 	for len(cc.arrivals) > 0 && cc.arrivals[0].offset <= cc.consumedBytes {
 		cc.arrivals = cc.arrivals[:copy(cc.arrivals, cc.arrivals[1:])]
 	}
-	cc.input.consume(n)
+}
+
+// takeRequest consumes the first size bytes of the input and appends request, which is part of them, to dst. A large request
+// that is all of the input is not copied.
+func (cc *clientConn) takeRequest(dst, request []byte, size int) []byte {
+	if size > maxKeptRequestBytes && cc.input.detach(size) {
+		cc.countConsumed(size)
+		cc.setHeldInput(cc.input.memory())
+		return request
+	}
+	dst = append(dst, request...)
+	cc.discardInput(size)
+	return dst
+}
+
+// mayTakeRequest reports whether the connection may hold the request of the given size that is at the start of its input.
+func (cc *clientConn) mayTakeRequest(size int) bool {
+	isWholeInput := !cc.input.borrowed && len(cc.input.data) == size
+	return isWholeInput || cc.mayHold(size)
 }
 
 // discardAllInput consumes the whole input.
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -140,7 +140,7 @@
 
 func (pc *pgClient) terminate(reason endReason) {
 	if reason == endOverfull {
-		pc.closeWithError(reason, "53300", "declined: too much was sent ahead of its answers")
+		pc.closeWithError(reason, "53300", "declined: more was sent than can be held")
 		return
 	}
 	pc.closeWithError(reason, "57P03", shutdownText)
@@ -225,6 +225,12 @@
 		pc.writeError("53300", "declined: too many are open", "")
 		return
 	}
+	if !cc.mayTakeRequest(size) {
+		l.stats.overHeldBytes++
+		cc.discardInput(size)
+		pc.writeError("53300", "declined: too much memory is held for clients", "")
+		return
+	}
 	if !l.admitsRequests() {
 		l.stats.overLimit++
 		cc.discardInput(size)
@@ -239,7 +245,8 @@
 func (pc *pgClient) handlePipelined(size int, text []byte) bool {
 	l := pc.cc.l
 	var info StatementInfo
-	if pc.proto.dialect.ParseStatement(text, &info) != nil || l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns || !l.admitsRequests() {
+	if pc.proto.dialect.ParseStatement(text, &info) != nil || l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns || !l.admitsRequests() ||
+		!pc.cc.mayTakeRequest(size) {
 		return false
 	}
 	if _, open := l.externalIDs[info.ID]; open {
@@ -264,11 +271,10 @@
 	c.product, c.keepAlive, c.externalID = int(info.Product), true, info.ID
 	c.txn = logic.Txn{Product: info.Product, Customer: info.Customer, Key: info.Key, Cost: info.Cost, Repeat: info.Repeat,
 		Expiry: max(l.now, cc.arrivalTime(size)+info.Timeout)} // the module gives up a txn that has already expired
-	c.request = append(c.request[:0], text...)
-	c.accountRequest()
 	c.timeoutStart, c.timeoutEnd = info.TimeoutStart, info.TimeoutEnd
 	l.externalIDs[info.ID] = struct{}{}
-	cc.discardInput(size)
+	c.request = cc.takeRequest(c.request[:0], text, size)
+	c.accountRequest()
 	cc.admitCall(c)
 }
 
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -97,8 +97,8 @@
 	l.stats.streaming++
 	l.stats.streamed++
 	l.stats.settled++
-	l.releaseRequest(c)
-	c.answered, c.client, cc.call = true, nil, nil
+	c.answered, cc.call = true, nil
+	c.detachClient()
 	c.subs[n].state, c.subs[n].conn = subStreaming, nil
 	gnetConn := cc.c
 	cc.releaseMemory()
