logic: a waiting submission is checked against its key again before it is sent

Cause: a submission that waits for a connection is checked by StillAllowed before it is written, which looked at the worker, the expiry and the cap, but not at the key; workerAllowed had checked that when the submission was decided.

Change: StillAllowed asks minRel as well. What may not be sent ends as not sent, and the module decides anew.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -369,14 +369,16 @@
 }
 
 // StillAllowed reports whether a submission that waits for a connection may still be sent. Meanwhile its worker may have
-// begun to drain, or the cap may have fallen, in which case the submission would count against the lower cap.
+// begun to drain, the cap may have fallen, in which case the submission would count against the lower cap, or a newer build
+// may have answered its key.
 func (s *Sentry) StillAllowed(now Nanos, id TxnID, number int) bool {
 	slot, open := s.txnSlots[id]
 	if !open || number >= s.slab[slot].n {
 		return false
 	}
-	sub := &s.slab[slot].submissions[number]
-	return sub.target.State == Up && now < s.slab[slot].Expiry && (!s.onTrial(sub.rel) || sub.sentAt > s.capLoweredAt)
+	t := &s.slab[slot]
+	sub := &t.submissions[number]
+	return sub.target.State == Up && now < t.Expiry && sub.rel >= s.minRel(t) && (!s.onTrial(sub.rel) || sub.sentAt > s.capLoweredAt)
 }
 
 // refillBudgets refills the token buckets. An exposure bucket gets the free submissions of a window; refill and depth
