edge: one client's messages take a bounded part of the event loop

Cause: the time that one connection may take of the loop was not bounded. Each answer to a small message was a system call (64 kB are 10,922 empty statements); reads of 64 kB, copied at each look while a message was left over; requests declined at once were read on and on in one callback.

Change: answers of a read are written together (output.go), reads of 16 kB, at most 16 requests of a client are admitted in a callback and the rest in the next (turn.go). Histogram dunegrade_edge_callback_seconds.

--- a/edge/client.go
+++ b/edge/client.go
@@ -46,6 +46,8 @@
 	consumedBytes    int64       // total bytes consumed
 	arrivals         []arrival   // arrival times of the unconsumed bytes, oldest first
 	closeReason      endReason   // in stateFlushing: the reason for the close
+	turn             uint64      // the loop's turn that turnRequests counts for
+	turnRequests     int         // requests admitted in that turn
 }
 
 // pipelinedCall is a call admitted behind others of its connection. Its answer is held until the earlier ones are sent.
@@ -230,6 +232,7 @@
 		cc.state, cc.stateSince = stateAwaitingAnswer, l.now
 	}
 	c.admitted = true
+	cc.countTurnRequest()
 	l.stats.admitted++
 	c.txn.ID = c.id()
 	if l.draining { // the txn expires early enough for its answer to be delivered
@@ -245,47 +248,6 @@
 	l.enqueue(event{kind: evAdmit, call: c})
 }
 
-// write sends bytes to the client, and aborts the connection if too many remain unsent.
-func (cc *clientConn) write(b []byte) {
-	if cc.closed {
-		return
-	}
-	cc.c.Write(b) // an error closes the connection and calls OnClose
-	if cc.closed {
-		return
-	}
-	unsent := cc.c.OutboundBuffered()
-	cc.setHeldUnsent(unsent)
-	if unsent > 0 {
-		if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes || unsent > max(minUnsentAllowance, cc.l.heldAllowance()) {
-			cc.l.stats.slowReaders++
-			cc.abort(endSlowReader)
-			return
-		}
-		cc.l.scheduleClientCheck(cc, cc.l.now+outputCheckInterval)
-	}
-}
-
-// answer sends c's answer, or holds it until the answers before it are sent. If the connection may not hold it, an error takes
-// its place.
-func (cc *clientConn) answer(c *call, b []byte) {
-	if c == cc.call {
-		cc.write(b)
-		return
-	}
-	if len(b) > minHeldAllowance && !cc.mayHold(len(b)) {
-		cc.l.stats.overHeldBytes++
-		cc.protocol.writeVoided(c)
-		return
-	}
-	for i := range cc.pipelined {
-		if cc.pipelined[i].call == c {
-			cc.pipelined[i].answer = append([]byte(nil), b...)
-			cc.addHeldAnswer(len(b))
-		}
-	}
-}
-
 // finish releases a call whose answer has been sent or held, on a connection that is still open.
 func (cc *clientConn) finish(c *call) {
 	if c == cc.call {
--- a/edge/closing.go
+++ b/edge/closing.go
@@ -31,6 +31,7 @@
 // close closes the connection once all written data has left this process. Calls that are unanswered by then are
 // abandoned.
 func (cc *clientConn) close(reason endReason) {
+	cc.flushBatch()
 	if cc.closed || cc.leaveLoop(reason) {
 		return
 	}
--- a/edge/events.go
+++ b/edge/events.go
@@ -73,7 +73,7 @@
 		l.events = l.events[:0]
 		for i := 0; i < len(l.resumeReads); i++ {
 			if cc := l.resumeReads[i]; !cc.closed {
-				cc.read()
+				cc.resumeRead()
 			}
 		}
 		l.resumeReads = l.resumeReads[:0]
--- a/edge/input.go
+++ b/edge/input.go
@@ -140,7 +140,10 @@
 
 // read processes the received input, and accounts for what remains of it.
 func (cc *clientConn) read() {
+	cc.l.batching = cc
 	cc.parseInput()
+	cc.flushBatch()
+	cc.l.batching = nil
 	cc.limitHeldBytes()
 }
 
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -21,6 +21,7 @@
 
 const (
 	maxReusedBuffer = 64 << 10         // size in bytes above which a worker connection's buffer is freed rather than kept for reuse
+	readBufferBytes = 16 << 10         // size in bytes of what is read from a connection at once, before the others have their turn
 	minWakeInterval = time.Millisecond // minimum time between two wake-ups of a loop by its timers
 )
 
@@ -62,10 +63,15 @@
 	events        []event
 	actions       []action
 	resumeReads   []*clientConn // connections just answered, whose next request may have been received
+	deferredReads []uint64      // slotTokens of the connections that are read from in the next turn
+	turn          uint64        // number of the current callback
 	processing    bool          // whether processEvents is running
 	callbackDepth int           // nesting depth of callbacks from gnet
 	load          logic.Load    // the load report of the outcome being dispatched
 
+	batching *clientConn // the connection whose input is being parsed; its output is collected in batch
+	batch    []byte
+
 	// Buffers reused between callbacks.
 	req     http1.Request
 	resp    http1.Response
@@ -127,7 +133,7 @@
 func (l *loop) start(list *api.WorkersEvent, update *logic.ReleaseUpdate) error {
 	var err error
 	l.client, err = gnet.NewClient(l, gnet.WithLogger(gnetLogger{l.p.log}), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReadBufferCap(64<<10), gnet.WithNumEventLoop(1))
+		gnet.WithReadBufferCap(readBufferBytes), gnet.WithNumEventLoop(1))
 	if err != nil {
 		return err
 	}
@@ -205,6 +211,7 @@
 // beginCallback updates the loop's time. Every callback from gnet begins with it.
 func (l *loop) beginCallback() {
 	l.now = l.p.clock()
+	l.turn++
 	l.callbackDepth++
 }
 
@@ -215,6 +222,7 @@
 	l.openQueuedConns()
 	l.checkDrained()
 	l.callbackDepth--
+	l.stats.callbacks.observe(l.p.clock() - l.now)
 	if len(l.timers) == 0 {
 		return
 	}
--- a/edge/stats.go
+++ b/edge/stats.go
@@ -39,6 +39,8 @@
 	clientEnds     [numEndReasons]uint64 // ended client connections by reason
 	owedAtEnd      [numEndReasons]uint64 // requests unanswered when their connection ended, by its end reason
 
+	callbacks durationHistogram // durations of the event loop's callbacks, during which all other clients wait
+
 	// Gauges, filled in by publishStats.
 	openClients     int64
 	openTxns        int64
@@ -81,13 +83,14 @@
 	descOwedAtEnd        = desc("requests_owed_at_end_total", "Requests unanswered when this process ended their connection; any is a defect, but for slow readers.", "reason")
 	descGauge            = desc("now", "Things held at this moment.", "what")
 	descHeldBytes        = desc("held_bytes", "Memory held for clients by purpose.", "purpose")
+	descCallbacks        = desc("callback_seconds", "Time that the event loop spends in one callback, while all other clients wait.")
 	descHostVoided       = desc("unanswered_total", "Txns that the host had to void at their expiry; any is a defect.")
 )
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descTxns, descAdmitted, descEndings, descSent, descRefused, descDials, descMalformedAnswers,
-		descClientEnds, descOwedAtEnd, descGauge, descHeldBytes, descHostVoided} {
+		descClientEnds, descOwedAtEnd, descGauge, descHeldBytes, descCallbacks, descHostVoided} {
 		ch <- d
 	}
 }
@@ -131,6 +134,7 @@
 		for purpose, size := range map[string]int{"input": s.held.input, "requests": s.held.requests, "answers": s.held.answers, "unsent": s.held.unsent} {
 			ch <- prometheus.MustNewConstMetric(descHeldBytes, prometheus.GaugeValue, float64(size), sentry, purpose)
 		}
+		ch <- s.callbacks.metric(sentry)
 		gauge("client-connections", s.openClients)
 		gauge("worker-connections", s.openWorkerConns)
 		gauge("workers-without-room", s.poolsHeld)
