edge: timers of answered requests leave the heap before they are due

Seen: beside reads with a deadline of an hour at full speed under ever new names the process grew from 16.5 MB after 4 s to 29.2 MB after 25 s (limit 32).

Cause: timers are not cancelled, and obsolete ones left the heap only at its top, so those of a request that was answered at once stayed until its expiry. Checks of connections that were moved forward left their later timers behind as well.

Evidence: the same load with 1 ms to live stays at 15.6 MB; 20,002 timers are left of 20,000 answered requests.

Change: obsolete timers are removed when the heap has doubled since the last time (from 4,096 on). A connection gets a check of its own when it becomes idle.

--- a/edge/call.go
+++ b/edge/call.go
@@ -152,14 +152,14 @@
 		return
 	}
 	if timeout > 0 && l.now+timeout < c.txn.Expiry {
-		l.timers.push(timer{at: l.now + timeout, token: uint64(c.id()), kind: timerSubTimeout, subIndex: uint8(n)})
+		l.pushTimer(timer{at: l.now + timeout, token: uint64(c.id()), kind: timerSubTimeout, subIndex: uint8(n)})
 	}
 	if wc := l.takeIdleConn(p); wc != nil {
 		l.assignConn(wc, c, n)
 		return
 	}
 	p.waiting = append(p.waiting, waiter{c, c.gen, n})
-	l.timers.push(timer{at: l.now + l.connectTimeout, token: uint64(c.id()), kind: timerConnWait, subIndex: uint8(n)})
+	l.pushTimer(timer{at: l.now + l.connectTimeout, token: uint64(c.id()), kind: timerConnWait, subIndex: uint8(n)})
 	l.queueDials(p)
 }
 
--- a/edge/client.go
+++ b/edge/client.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"cmp"
+
 	"github.com/panjf2000/gnet/v2"
 
 	"dunegrade/logic"
@@ -107,7 +109,7 @@
 		return
 	}
 	cc.checkAt = at
-	l.timers.push(timer{at: at, token: slotToken(cc.slot, cc.gen), kind: timerClientConn})
+	l.pushTimer(timer{at: at, token: slotToken(cc.slot, cc.gen), kind: timerClientConn})
 }
 
 const (
@@ -242,9 +244,9 @@
 		c.txn.Expiry = l.now + 1
 	}
 	if halfCloseAt := c.txn.Expiry - halfCloseLead; halfCloseAt > l.now && l.p.platform != nil {
-		l.timers.push(timer{at: halfCloseAt, token: uint64(c.id()), kind: timerHalfClose})
+		l.pushTimer(timer{at: halfCloseAt, token: uint64(c.id()), kind: timerHalfClose})
 	}
-	l.timers.push(timer{at: c.txn.Expiry, token: uint64(c.id()), kind: timerExpiry})
+	l.pushTimer(timer{at: c.txn.Expiry, token: uint64(c.id()), kind: timerExpiry})
 	l.enqueue(event{kind: evAdmit, call: c})
 }
 
@@ -304,6 +306,7 @@
 		return
 	}
 	cc.state, cc.stateSince = stateReading, l.now
+	l.scheduleClientCheck(cc, l.now+logic.Nanos(cmp.Or(l.p.cfg.ClientLimits.PressureIdleTimeout, l.p.cfg.ClientLimits.IdleTimeout)))
 	cc.protocol.startNextRequest()
 	if l.draining && len(cc.input.data) == 0 {
 		l.drainClient(cc)
--- a/edge/closing.go
+++ b/edge/closing.go
@@ -97,7 +97,7 @@
 func (l *loop) scheduleClosingCheck() {
 	if !l.closingTimerSet {
 		l.closingTimerSet = true
-		l.timers.push(timer{at: l.now + closingPollInterval, kind: timerClosingConns})
+		l.pushTimer(timer{at: l.now + closingPollInterval, kind: timerClosingConns})
 	}
 }
 
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -40,7 +40,7 @@
 func (l *loop) beginDrain(end logic.Nanos) {
 	l.draining = true
 	l.answerDeadline = end - min(answerMargin, (end-l.now)/4)
-	l.timers.push(timer{at: l.answerDeadline, kind: timerDrainEnd})
+	l.pushTimer(timer{at: l.answerDeadline, kind: timerDrainEnd})
 	for _, cc := range l.clientConns.items {
 		if !cc.closed && cc.c != nil && cc.state == stateReading {
 			l.drainClient(cc)
--- a/edge/events.go
+++ b/edge/events.go
@@ -138,7 +138,7 @@
 // execute carries out one action of the module.
 func (l *loop) execute(a action) {
 	if a.kind == actionSetTimer {
-		l.timers.push(timer{at: l.now + a.duration, token: a.token, kind: timerModule, txnID: a.txn})
+		l.pushTimer(timer{at: l.now + a.duration, token: a.token, kind: timerModule, txnID: a.txn})
 		return
 	}
 	c := l.findCall(a.txn)
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -59,6 +59,7 @@
 	roomChanged        bool       // whether openQueuedConns may be able to open connections
 	held               heldBytes  // memory held for all clients
 	timers             timerHeap
+	timersLeft         int // timers that were left when the obsolete ones were last removed
 
 	events        []event
 	actions       []action
--- a/edge/timers.go
+++ b/edge/timers.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"dunegrade/logic"
@@ -54,26 +56,55 @@
 	top, last := q[0], q[len(q)-1]
 	q = q[:len(q)-1]
 	if len(q) > 0 {
-		i := 0
-		for {
-			child := 2*i + 1
-			if child >= len(q) {
-				break
-			}
-			if child+1 < len(q) && q[child+1].at < q[child].at {
-				child++
-			}
-			if last.at <= q[child].at {
-				break
-			}
-			q[i], i = q[child], child
-		}
-		q[i] = last
+		q.siftDown(0, last)
 	}
 	*h = q
 	return top
 }
 
+// siftDown puts t at index i, or below it where its children are earlier.
+func (h timerHeap) siftDown(i int, t timer) {
+	for {
+		child := 2*i + 1
+		if child >= len(h) {
+			break
+		}
+		if child+1 < len(h) && h[child+1].at < h[child].at {
+			child++
+		}
+		if t.at <= h[child].at {
+			break
+		}
+		h[i], i = h[child], child
+	}
+	h[i] = t
+}
+
+// removeIf removes the timers for which obsolete returns true. It frees memory if few timers are left.
+func (h *timerHeap) removeIf(obsolete func(timer) bool) {
+	q := slices.DeleteFunc(*h, obsolete)
+	if len(q) < cap(q)/4 {
+		q = slices.Clone(q)
+	}
+	for i := len(q)/2 - 1; i >= 0; i-- {
+		q.siftDown(i, q[i])
+	}
+	*h = q
+}
+
+// minTimersToPurge is the number of timers below which obsolete ones are left in the heap.
+const minTimersToPurge = 4096
+
+// pushTimer adds a timer. A request's timers run until its expiry, which may be an hour after its answer. So the obsolete timers
+// are removed whenever the heap has grown to twice what was left of it the last time.
+func (l *loop) pushTimer(t timer) {
+	if len(l.timers) >= max(minTimersToPurge, 2*l.timersLeft) {
+		l.timers.removeIf(l.timerObsolete)
+		l.timersLeft = len(l.timers)
+	}
+	l.timers.push(t)
+}
+
 // runDueTimers fires the timers that are due and removes obsolete ones from the top of the heap.
 func (l *loop) runDueTimers() {
 	for len(l.timers) > 0 {
@@ -90,7 +121,8 @@
 	}
 }
 
-// timerObsolete reports whether the txn or submission that a timer was set for has ended.
+// timerObsolete reports whether the txn, submission or connection that a timer was set for has ended, or whether the connection's
+// next check has another timer by now.
 func (l *loop) timerObsolete(t timer) bool {
 	switch t.kind {
 	case timerExpiry, timerHalfClose, timerSubTimeout, timerConnWait:
@@ -98,6 +130,12 @@
 		return c == nil || t.kind != timerExpiry && t.kind != timerHalfClose && c.subs[t.subIndex].state == subEnded
 	case timerModule: // a timer for a txn that has ended has no effect in the module
 		return t.txnID != 0 && l.findCall(t.txnID) == nil
+	case timerClientConn:
+		cc := l.clientByToken(t.token)
+		return cc == nil || cc.checkAt != t.at
+	case timerWorkerConn:
+		wc := l.workerByToken(t.token)
+		return wc == nil || wc.checkAt != t.at
 	}
 	return false
 }
--- a/edge/worker.go
+++ b/edge/worker.go
@@ -110,7 +110,7 @@
 		return
 	}
 	wc.checkAt = at
-	l.timers.push(timer{at: at, token: slotToken(wc.slot, wc.gen), kind: timerWorkerConn})
+	l.pushTimer(timer{at: at, token: slotToken(wc.slot, wc.gen), kind: timerWorkerConn})
 }
 
 // checkWorkerConn enforces the connection's time limits: for the handshake, for the wait after a half-close, for the delay
