logic: one-way keys are remembered up to a bound, then by what is safe without them

Cause: boundKeys had no bound; the rule lets no key go before the build is called back.

Change: from 131,072 keys on a build on trial gets no further keys, and all keys count as bound to a released build. A trial that begins with more than half of the room in use binds all keys to the released build before it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -352,6 +352,9 @@
 		if w.Rel != s.trial || s.exposure[s.exposureIndex(t.Product)] < 1 || s.currentCap() <= 0 {
 			return false
 		}
+		if t.Key != 0 && s.keysFull() && s.boundKeys[t.Key] != w.Rel {
+			return false
+		}
 		guardedStages := int(s.num("release.guarded-stages", 0))
 		if !p.inquiryLike && guardedStages > 0 && (s.trial > s.announced.Rel || s.announced.Stage < guardedStages) {
 			return false
@@ -915,6 +918,12 @@
 	maps.DeleteFunc(s.boundKeys, func(_ KeyID, rel RelID) bool {
 		return u.rollingBack() && rel == u.Rel || u.Rel > previousRel && rel < previousRel
 	})
+	if u.rollingBack() && s.allKeysBound == u.Rel || u.Rel > previousRel && s.allKeysBound < previousRel {
+		s.allKeysBound = 0
+	}
+	if u.Rel > previousRel && s.announced.Phase == Released && len(s.boundKeys) > maxBoundKeys/2 {
+		s.bindAllKeys(previousRel)
+	}
 	s.announced, s.announcedAt = u, now
 	s.updateTrial()
 	if s.currentCap() < oldCap { // exposure is counted from zero under a lower cap
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -206,6 +206,49 @@
 		h.Sentry.ReleaseUpdate(h.clock, ReleaseUpdate{Rel: 2, Phase: GoingBack})
 		want(t, "keys bound after going back", len(h.boundKeys), 0)
 	})
+	// Guards against memory that grows without end under ever new keys.
+	t.Run("one-way keys are bounded", func(t *testing.T) {
+		h := newHarness(8, 2, 0.5, "release.one-way", true)
+		for i := range maxBoundKeys - 10 {
+			h.boundKeys[KeyID(1<<40+i)] = 2
+		}
+		answered, byOld := map[KeyID]bool{}, 0
+		key := func(i int) KeyID { return KeyID(i/2 + 1) } // each key comes twice
+		answer := func(w string, i int) (Ending, Nanos) {
+			if strings.HasPrefix(w, "trial") {
+				answered[key(i)] = true
+			} else if byOld++; answered[key(i)] || h.allKeysBound == 2 {
+				t.Errorf("key %d went to %s after the trial had answered it", key(i), w)
+			}
+			return OK, 50 * Millisecond
+		}
+		h.runTxns(2000, inquiry, key, answer)
+		want(t, "the keys are within their bound", len(h.boundKeys) <= maxBoundKeys, true)
+		want(t, "the trial got all the keys that can be remembered", len(answered), 10)
+		want(t, "most txns went to the earlier build", byOld > 1900, true)
+		h.Sentry.ReleaseUpdate(h.clock, ReleaseUpdate{Rel: 2, Cap: 1, Phase: Released})
+		h.runTxns(2000, inquiry, func(i int) KeyID { return KeyID(i + 1e6) }, func(w string, i int) (Ending, Nanos) {
+			if h.allKeysBound == 2 && !strings.HasPrefix(w, "trial") {
+				t.Errorf("a key went to %s after all were bound to the released build", w)
+			}
+			return OK, 50 * Millisecond
+		})
+		want(t, "all keys are bound to the released build", h.allKeysBound, 2)
+		want(t, "the keys are forgotten", len(h.boundKeys) < maxBoundKeys, true)
+		h.Sentry.ReleaseUpdate(h.clock, ReleaseUpdate{Rel: 2, Phase: GoingBack})
+		want(t, "builds to which all keys are bound after going back", h.allKeysBound, 0)
+	})
+	t.Run("a trial begins with room for its keys", func(t *testing.T) {
+		h := newHarness(8, 0, 0.5, "release.one-way", true)
+		for i := range maxBoundKeys - 10 {
+			h.boundKeys[KeyID(1<<40+i)] = 1
+		}
+		h.boundKeys[7] = 2 // of a build that the list has named before the update
+		h.Sentry.ReleaseUpdate(h.clock, ReleaseUpdate{Rel: 2, Cap: 0.5, Phase: OnTrial})
+		want(t, "keys remembered", len(h.boundKeys), 1)
+		want(t, "the build to which all other keys are bound", h.allKeysBound, 1)
+		want(t, "the build of the key of the new build", h.boundKeys[7], 2)
+	})
 	t.Run("bound key without exposure is declined with a retry time", func(t *testing.T) {
 		h := newHarness(8, 1, 0.1, "release.one-way", true, "release.free", 1.0)
 		h.boundKeys[5] = 2
--- a/logic/state.go
+++ b/logic/state.go
@@ -194,6 +194,7 @@
 	exposure     []float64       // submissions that the trial may get, by exposureIndex
 	refilledAt   Nanos           // time at which the budgets were last refilled
 	boundKeys    map[KeyID]RelID // the newest build that has answered a key
+	allKeysBound RelID           // the newest build to which every key counts as bound, 0 for none
 	reservedKeys map[KeyID]int   // number of pending submissions to the newest build, by key
 
 	ownEvidence      evidence
@@ -481,13 +482,16 @@
 
 // minRel returns the earliest build that t may be sent to: the newest build that has, or may have, answered its key.
 func (s *Sentry) minRel(t *txn) RelID {
-	if t.Key == 0 || len(s.boundKeys)+len(s.reservedKeys) == 0 {
+	if t.Key == 0 {
 		return 0
 	}
+	if len(s.boundKeys)+len(s.reservedKeys) == 0 {
+		return s.allKeysBound
+	}
 	if s.reservedKeys[t.Key] > 0 && !(s.announced.rollingBack() && s.announced.Rel == s.trial) {
 		return s.trial
 	}
-	return s.boundKeys[t.Key]
+	return max(s.boundKeys[t.Key], s.allKeysBound)
 }
 
 // reserveKey adds delta to the number of pending submissions of a key to the newest build. It applies where a response
@@ -600,9 +604,33 @@
 func (s *Sentry) bindKey(t *txn) {
 	if t.Key != 0 && s.flag("release.one-way") && !(s.announced.rollingBack() && s.announced.Rel == s.trial) {
 		s.boundKeys[t.Key] = s.trial
+		if len(s.boundKeys) > maxBoundKeys && !s.onTrial(s.trial) {
+			s.bindAllKeys(s.trial)
+		}
 	}
 }
 
+// maxBoundKeys bounds the keys that are remembered one by one, a few megabytes. Beyond it, a build on trial gets no further
+// keys, and all keys count as bound to a released build. A trial that begins finds at least half of the room.
+const maxBoundKeys = 1 << 17
+
+// bindAllKeys binds all keys to a released build, and frees those that were remembered for it and for earlier builds.
+func (s *Sentry) bindAllKeys(rel RelID) {
+	s.allKeysBound = rel
+	remembered := s.boundKeys
+	s.boundKeys = map[KeyID]RelID{} // clearing the map would not free its memory
+	for key, bound := range remembered {
+		if bound > rel {
+			s.boundKeys[key] = bound
+		}
+	}
+}
+
+// keysFull reports whether a build on trial gets no further keys, as none of them could be remembered.
+func (s *Sentry) keysFull() bool {
+	return len(s.boundKeys)+len(s.reservedKeys) >= maxBoundKeys
+}
+
 // decayLosses decays the counts of all workers. It returns the losses of each trial worker that is up, those of each other
 // worker that is up, and the errors of each trial worker that is up.
 func (s *Sentry) decayLosses(factor float64) (trialLosses, baselineLosses, errors []float64) {
