edge: a client that has closed is noticed before its unread requests

Cause: the end of a connection is read behind all bytes before it, and each chunk was parsed and admitted as if the client were there.

Change: before input is parsed, poll with POLLRDHUP asks the kernel whether the peer has closed. If so the connection ends with all that was read of it. An error of poll counts as no close.

Why it works: the flag is set when the FIN or RST arrives, whatever lies unread before it. What the client's kernel still holds back can't be seen; input ahead of answers is bounded.

--- a/edge/closing.go
+++ b/edge/closing.go
@@ -186,6 +186,31 @@
 	}
 }
 
+// endIfDeparted ends the connection if its client has closed it, or its sending side, even if received requests are unread or
+// wait for their turn: nobody waits for their answers. It reports whether the connection has ended.
+func (cc *clientConn) endIfDeparted() bool {
+	if !cc.l.peerClosed(cc.c.Fd()) {
+		return false
+	}
+	c := cc.c
+	cc.teardown(endByClient)
+	cc.l.eventLoop.Close(c)
+	return true
+}
+
+// peerClosed reports whether the peer has closed a connection or its sending side. Unlike a read, it sees this before the bytes
+// received earlier are read.
+func (l *loop) peerClosed(fd int) bool {
+	l.pollFDs[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+	for {
+		n, err := unix.Poll(l.pollFDs[:], 0)
+		if err == unix.EINTR {
+			continue
+		}
+		return err == nil && n > 0 && l.pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // peekByte returns 1 if the socket has unread bytes and 0 at the end of the stream; the error is unix.EAGAIN if neither.
 func peekByte(fd int) (n int, err error) {
 	var b [1]byte
--- a/edge/input.go
+++ b/edge/input.go
@@ -150,6 +150,9 @@
 // parseInput parses requests from the input until it is incomplete. It stops after a complete request unless further ones
 // may be pipelined, since answers are sent in the order of requests.
 func (cc *clientConn) parseInput() {
+	if len(cc.input.data) > 0 && cc.state != stateFlushing && cc.endIfDeparted() {
+		return
+	}
 	for !cc.closed {
 		in := cc.input.data
 		if cc.state == stateReading || cc.state == stateAwaitingAnswer && cc.protocol.supportsPipelining() && cc.canPipeline() {
--- a/edge/loop.go
+++ b/edge/loop.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"dunegrade/api"
 	"dunegrade/http1"
@@ -74,6 +75,7 @@
 	batch    []byte
 
 	// Buffers reused between callbacks.
+	pollFDs [1]unix.PollFd
 	req     http1.Request
 	resp    http1.Response
 	scratch []byte
