edge: an id that was sent to a worker is not sent again after its client has left

Seen: an id ran twice when it came again after its client had left, also in a class that may run once only.

Cause: an id was taken only while its request was open, and the request of a departed client ends 20 ms after it is called off, though the worker may have run it or may yet.

Each request and retry has a new id by the protocol, and one that was never sent may come again.

--- a/edge/call.go
+++ b/edge/call.go
@@ -40,6 +40,7 @@
 	closesConn   bool // the answer announces the close of the client connection
 	txn          logic.Txn
 	admitted     bool      // passed to the module
+	wasSent      bool      // a submission was written to a worker, which may run it
 	externalID   uint64    // id that the client gave the txn; 0 in protocols without such ids
 	timeoutStart int       // offset in request of the client's timeout, for protocols that rewrite it
 	timeoutEnd   int       // offset just past the client's timeout
@@ -91,9 +92,7 @@
 		return
 	}
 	c.freed = true
-	if c.externalID != 0 {
-		delete(l.externalIDs, c.externalID)
-	}
+	l.releaseID(c)
 	if c.traced {
 		l.recorder.TxnDone(l.now, c.id())
 	}
@@ -166,7 +165,7 @@
 // assignConn writes submission n of a call to a connection.
 func (l *loop) assignConn(wc *workerConn, c *call, n int) {
 	s := &c.subs[n]
-	s.state, s.conn = subSent, wc
+	s.state, s.conn, c.wasSent = subSent, wc, true
 	wc.call, wc.callGen, wc.subIndex = c, c.gen, n
 	wc.hasLoad, wc.idledFor = false, l.now-wc.since
 	if wc.numUses == 0 {
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -212,11 +212,10 @@
 		pc.writeError(protocolErr.Code, protocolErr.Message, "")
 		return
 	}
-	// Workers can't distinguish open txns with the same id, so the answer to one could be taken for the answer to the other.
-	if _, open := l.externalIDs[info.ID]; open {
+	if l.idTaken(info.ID) {
 		l.stats.refused++
 		cc.discardInput(size)
-		pc.writeError("42710", "this id is open already", "")
+		pc.writeError("42710", "this id is in use, or was used before", "")
 		return
 	}
 	if l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns {
@@ -249,7 +248,7 @@
 		!pc.cc.mayTakeRequest(size) {
 		return false
 	}
-	if _, open := l.externalIDs[info.ID]; open {
+	if l.idTaken(info.ID) {
 		return false
 	}
 	pc.startCall(size, text, &info, false)
