edge: the buffer of a large answer is freed with the answer

Seen: with 400 clients that ask for values of 64 kB and do not read them, a process of 32 MB and 1,024 descriptors had 63,820 kB on, 49,720 and 50,668 kB with the bound of the clients' memory.

Cause: the buffer in which an answer is collected was freed when the worker connection closed, not after the answer, so each connection that had carried a large one kept 64 to 128 kB.

Evidence: a heap profile of a trial at 46 MB has 33 MB in continueLongRow.

Change: releaseBuffers after each answer; buffers up to 8 kB are kept as before.

--- a/edge/worker.go
+++ b/edge/worker.go
@@ -275,6 +275,7 @@
 	}
 	if !wc.closed {
 		wc.call = nil
+		wc.protocol.releaseBuffers()
 	}
 	l.endSubmission(c, n, e, load)
 	if c.answered || c.clientLeft {
