--- a/edge/closing.go
+++ b/edge/closing.go
@@ -198,8 +198,8 @@
 	return true
 }
 
-// peerClosed reports whether the peer has closed a connection or its sending side. Unlike a read, it sees this before the bytes
-// received earlier are read.
+// peerClosed reports whether the peer has closed or reset a connection, or closed its sending side. Unlike a read, it sees this
+// before the bytes received earlier are read.
 func (l *loop) peerClosed(fd int) bool {
 	l.pollFDs[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
 	for {
@@ -207,7 +207,7 @@
 		if err == unix.EINTR {
 			continue
 		}
-		return err == nil && n > 0 && l.pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return err == nil && n > 0 && l.pollFDs[0].Revents&unix.POLLRDHUP != 0 // Linux sets it on a reset, too
 	}
 }
 
