edge: only ids of departed clients are remembered

Cause: an id that was answered was refused as well when it came again, which TestRequestsBehindOthers (as strict as before) asks to be served: it failed with 42710 in the run of the whole package.

Change: an id is remembered if its client left before the answer and a submission was written to a worker.

--- a/edge/loop.go
+++ b/edge/loop.go
@@ -45,7 +45,7 @@
 
 	calls       slab[call]
 	externalIDs map[uint64]struct{} // the clients' ids of the open calls, for protocols that have them
-	recentIDs   recentIDs           // the clients' ids of calls that have ended
+	recentIDs   recentIDs           // ids of calls whose clients have left
 	clientConns slab[clientConn]
 	workerConns slab[workerConn]
 
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -215,7 +215,7 @@
 	if l.idTaken(info.ID) {
 		l.stats.refused++
 		cc.discardInput(size)
-		pc.writeError("42710", "this id is in use, or was used before", "")
+		pc.writeError("42710", "this id is open already, or its client has left", "")
 		return
 	}
 	if l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns {
--- a/edge/request_ids.go
+++ b/edge/request_ids.go
@@ -1,10 +1,10 @@
 package edge
 
-// maxRecentIDs is the number of request ids that are remembered after their requests have ended.
+// maxRecentIDs is the number of request ids that are remembered after their clients have left.
 const maxRecentIDs = 1 << 14
 
-// recentIDs remembers the last maxRecentIDs ids of ended requests that were sent to a worker. Such a request may have had its
-// effect, or may yet have it, although its client has left. A request that comes with the same id must not run as well.
+// recentIDs remembers the last maxRecentIDs ids of requests that were sent to a worker and whose client has left. Such a request may
+// have had its effect, or may yet have it. A request that comes with the same id must not run as well.
 type recentIDs struct {
 	known  map[uint64]struct{}
 	ring   []uint64 // the ids in the order in which their requests ended
@@ -35,8 +35,8 @@
 	return known
 }
 
-// idTaken reports whether a client's id belongs to an open request, or to one that was sent to a worker lately. Workers can't
-// distinguish requests with the same id, so the answer to one could be taken for the answer to the other.
+// idTaken reports whether a client's id belongs to an open request, or to one whose client has left. Workers can't distinguish
+// requests with the same id, so the answer to one could be taken for the answer to the other.
 func (l *loop) idTaken(id uint64) bool {
 	_, open := l.externalIDs[id]
 	return open || l.recentIDs.contains(id)
@@ -48,7 +48,7 @@
 		return
 	}
 	delete(l.externalIDs, c.externalID)
-	if c.wasSent {
+	if c.wasSent && c.clientLeft {
 		l.recentIDs.add(c.externalID)
 	}
 }
