lab: the bench's worker list ends with its release

Seen: lab bench told 0 txns a second for the edge, on too.

Cause: list files that do not end with their release are refused as half written, and the bench wrote the release first.

Change: the release comes last.

--- a/lab/bench.go
+++ b/lab/bench.go
@@ -371,10 +371,11 @@
 	}
 	listPath, settingsPath := filepath.Join(plan.Out, "bench-list.sexp"), filepath.Join(plan.Out, "bench-edge.sexp")
 	// Twelve workers, all served by one process: the edge would limit a single worker to few concurrent txns.
-	text := "(release (build 1))\n"
+	text := ""
 	for i := 0; i < 12; i++ {
 		text += fmt.Sprintf("(worker w%02d (address %q))\n", i, worker)
 	}
+	text += "(release (build 1))\n" // a list without its release at the end counts as half written
 	if err := os.WriteFile(listPath, []byte(text), 0o644); err != nil {
 		return "", err
 	}
