--- a/config/config_test.go
+++ b/config/config_test.go
@@ -56,6 +56,7 @@
 		{"memory of an inquiry-like product", "(effect inquiry-like)", "(effect inquiry-like) (memory 1s)", "4:65", "referenced products only"},
 		{"number that overflows", "(free 3)", "(free 1e999)", "8:68", "found 1e999"},
 		{"whole number that overflows", "(listen", "(seed 99999999999999999999) (listen", "2:9", "a whole number"},
+		{"held bytes below the largest bodies", "(listen", "(door (held 1MiB)) (listen", "2:9", "at least 16777216, 16 times"},
 		{"size that overflows", "(listen", "(door (body 99999999999GiB)) (listen", "2:15", "a size"},
 		{"not a number", "(free 3)", "(free NaN)", "8:68", "found NaN"},
 		{"no address", `"127.0.0.1:8080"`, `"127.0.0.1"`, "2:3", "an address and port"},
--- a/edge/client_http.go
+++ b/edge/client_http.go
@@ -147,20 +147,14 @@
 	}
 	if l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns || !l.admitsRequests() {
 		l.stats.overLimit++
-		cc.discardInput(n)
-		l.reply(cc, 503, declinedBody, overloadRetryAfter, r.Length == 0 && !r.Close && !l.draining)
-		hc.headStart = 0
-		return !cc.closed && cc.state == stateReading
+		return hc.rejectHead(n, 503, declinedBody, overloadRetryAfter)
 	}
 	c := l.newCall()
 	c.client, cc.call = cc, c
 	if !l.classify(c, r) {
 		l.releaseCall(c)
 		l.stats.noRoute++
-		cc.discardInput(n)
-		l.reply(cc, 404, "no route fits this request\n", 0, r.Length == 0 && !r.Close && !l.draining)
-		hc.headStart = 0
-		return !cc.closed && cc.state == stateReading
+		return hc.rejectHead(n, 404, "no route fits this request\n", 0)
 	}
 	c.keepAlive = !r.Close && !l.draining
 	c.httpMinor = r.Minor
@@ -193,6 +187,18 @@
 	return !cc.closed
 }
 
+// rejectHead answers the request whose head of size bytes was just parsed, without admitting it. The connection stays open unless
+// a body follows. It reports whether more input may be processed.
+func (hc *httpClient) rejectHead(size, status int, text string, retryAfter logic.Nanos) bool {
+	cc := hc.cc
+	l := cc.l
+	keepAlive := l.req.Length == 0 && !l.req.Close && !l.draining
+	cc.discardInput(size)
+	l.reply(cc, status, text, retryAfter, keepAlive)
+	hc.headStart = 0
+	return !cc.closed && cc.state == stateReading
+}
+
 // mayTakeBody reports whether the connection may hold size more bytes of the body. If not, the request is refused.
 func (hc *httpClient) mayTakeBody(size int) bool {
 	if hc.cc.mayHold(size) {
--- a/edge/input.go
+++ b/edge/input.go
@@ -163,7 +163,7 @@
 		}
 		// The event loop cannot stop reading, so a client that pipelines without limit would exhaust memory. Over the
 		// limit, further requests are discarded and the connection closes after its answer.
-		if len(in) > cc.l.p.cfg.ClientLimits.MaxPipelinedBytes || cc.state == stateFlushing {
+		if len(in) > cc.l.p.cfg.ClientLimits.MaxPipelinedBytes || cc.inputDropped || cc.state == stateFlushing {
 			cc.dropInput()
 		}
 		return
--- a/edge/pg.go
+++ b/edge/pg.go
@@ -201,39 +201,38 @@
 	return !cc.closed
 }
 
+// refusal is the reason why a statement is not admitted.
+type refusal struct {
+	code, text string
+	counter    *uint64 // the statistic that counts it
+}
+
+// parseAdmissible parses a statement and checks whether its txn can be admitted now. It returns the reason if not.
+func (pc *pgClient) parseAdmissible(size int, text []byte, info *StatementInfo) *refusal {
+	l := pc.cc.l
+	if err := pc.proto.dialect.ParseStatement(text, info); err != nil {
+		return &refusal{err.Code, err.Message, &l.stats.refused}
+	}
+	switch {
+	case l.idTaken(info.ID):
+		return &refusal{"42710", "this id is open already, or its client has left", &l.stats.refused}
+	case l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns:
+		return &refusal{"53300", "declined: too many are open", &l.stats.overLimit}
+	case !pc.cc.mayTakeRequest(size):
+		return &refusal{"53300", "declined: too much memory is held for clients", &l.stats.overHeldBytes}
+	case !l.admitsRequests():
+		return &refusal{"57P03", shutdownText, &l.stats.overLimit}
+	}
+	return nil
+}
+
 // handleStatement admits a statement's txn, or answers with the reason for its refusal.
 func (pc *pgClient) handleStatement(size int, text []byte) {
-	cc := pc.cc
-	l := cc.l
 	var info StatementInfo
-	if protocolErr := pc.proto.dialect.ParseStatement(text, &info); protocolErr != nil {
-		l.stats.refused++
-		cc.discardInput(size)
-		pc.writeError(protocolErr.Code, protocolErr.Message, "")
-		return
-	}
-	if l.idTaken(info.ID) {
-		l.stats.refused++
-		cc.discardInput(size)
-		pc.writeError("42710", "this id is open already, or its client has left", "")
-		return
-	}
-	if l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns {
-		l.stats.overLimit++
-		cc.discardInput(size)
-		pc.writeError("53300", "declined: too many are open", "")
-		return
-	}
-	if !cc.mayTakeRequest(size) {
-		l.stats.overHeldBytes++
-		cc.discardInput(size)
-		pc.writeError("53300", "declined: too much memory is held for clients", "")
-		return
-	}
-	if !l.admitsRequests() {
-		l.stats.overLimit++
-		cc.discardInput(size)
-		pc.writeError("57P03", shutdownText, "")
+	if refused := pc.parseAdmissible(size, text, &info); refused != nil {
+		*refused.counter++
+		pc.cc.discardInput(size)
+		pc.writeError(refused.code, refused.text, "")
 		return
 	}
 	pc.startCall(size, text, &info, true)
@@ -242,13 +241,8 @@
 // handlePipelined admits a txn behind others of its connection, and reports whether it did. A statement that has to be
 // refused stays in the input until its turn, so that its error is sent in order.
 func (pc *pgClient) handlePipelined(size int, text []byte) bool {
-	l := pc.cc.l
 	var info StatementInfo
-	if pc.proto.dialect.ParseStatement(text, &info) != nil || l.calls.inUse() >= l.p.cfg.ClientLimits.MaxOpenTxns || !l.admitsRequests() ||
-		!pc.cc.mayTakeRequest(size) {
-		return false
-	}
-	if l.idTaken(info.ID) {
+	if pc.parseAdmissible(size, text, &info) != nil {
 		return false
 	}
 	pc.startCall(size, text, &info, false)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -363,6 +363,23 @@
 	return w.Rel >= s.minRel(t)
 }
 
+// maxBoundKeys bounds the keys that are remembered one by one, a few megabytes. Beyond it, a build on trial gets no further
+// keys, and all keys count as bound to a released build. A trial that begins finds at least half of the room.
+const maxBoundKeys = 1 << 17
+
+// keysFull reports whether a build on trial gets no further keys, as none of them could be remembered.
+func (s *Sentry) keysFull() bool {
+	return len(s.boundKeys)+len(s.reservedKeys) >= maxBoundKeys
+}
+
+// rememberKey binds t's key to the newest build, which has answered it, or may have.
+func (s *Sentry) rememberKey(t *txn) {
+	s.bindKey(t)
+	if len(s.boundKeys) > maxBoundKeys && !s.onTrial(s.trial) {
+		s.bindAllKeys(s.trial)
+	}
+}
+
 // mayDecline reports whether t may be declined, which assures the client that a retry does no harm.
 func (s *Sentry) mayDecline(t *txn) bool {
 	p := &s.products[t.Product]
@@ -665,7 +682,7 @@
 	s.reserveKey(t, sub, -1)
 	// A submission that was cut off, malformed or cancelled may have been answered, which binds the key as well.
 	if sub.rel == s.trial && (o.Ending == OK || o.MaybeAnswered) {
-		s.bindKey(t)
+		s.rememberKey(t)
 	}
 	s.learn(t, sub, o)
 	s.updateWeight(sub.target)
@@ -691,7 +708,7 @@
 func (s *Sentry) ResponseStarted(now Nanos, id TxnID, number int) {
 	s.now = now
 	if slot, open := s.txnSlots[id]; open && number < s.slab[slot].n && s.slab[slot].submissions[number].rel == s.trial {
-		s.bindKey(&s.slab[slot])
+		s.rememberKey(&s.slab[slot])
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -604,16 +604,9 @@
 func (s *Sentry) bindKey(t *txn) {
 	if t.Key != 0 && s.flag("release.one-way") && !(s.announced.rollingBack() && s.announced.Rel == s.trial) {
 		s.boundKeys[t.Key] = s.trial
-		if len(s.boundKeys) > maxBoundKeys && !s.onTrial(s.trial) {
-			s.bindAllKeys(s.trial)
-		}
 	}
 }
 
-// maxBoundKeys bounds the keys that are remembered one by one, a few megabytes. Beyond it, a build on trial gets no further
-// keys, and all keys count as bound to a released build. A trial that begins finds at least half of the room.
-const maxBoundKeys = 1 << 17
-
 // bindAllKeys binds all keys to a released build, and frees those that were remembered for it and for earlier builds.
 func (s *Sentry) bindAllKeys(rel RelID) {
 	s.allKeysBound = rel
@@ -626,11 +619,6 @@
 	}
 }
 
-// keysFull reports whether a build on trial gets no further keys, as none of them could be remembered.
-func (s *Sentry) keysFull() bool {
-	return len(s.boundKeys)+len(s.reservedKeys) >= maxBoundKeys
-}
-
 // decayLosses decays the counts of all workers. It returns the losses of each trial worker that is up, those of each other
 // worker that is up, and the errors of each trial worker that is up.
 func (s *Sentry) decayLosses(factor float64) (trialLosses, baselineLosses, errors []float64) {
