lab: one worker list for the benches, with its release at the end

Seen: lab hostile told 0 of 3,000 regular txns settled for every attack, on too.

Cause: as in lab bench, its list began with the release and was refused as half written.

Change: writeWorkerList serves both.

--- a/lab/bench.go
+++ b/lab/bench.go
@@ -363,6 +363,16 @@
 	return
 }
 
+// writeWorkerList writes a list file of the given number of workers, all of which are served at one address. It ends with the
+// release: a list without one counts as half written and is refused.
+func writeWorkerList(path, address string, workers int) error {
+	text := ""
+	for i := range workers {
+		text += fmt.Sprintf("(worker w%02d (address %q))\n", i, address)
+	}
+	return os.WriteFile(path, []byte(text+"(release (build 1))\n"), 0o644)
+}
+
 // writeEdgeFiles writes the settings and the worker list of the edge that is measured, and returns the settings' path.
 // levelSuffix is the subject's name without its prefix edge, and selects the trace level.
 func (plan BenchPlan) writeEdgeFiles(listen, worker string, loops int, levelSuffix string) (string, error) {
@@ -371,12 +381,7 @@
 	}
 	listPath, settingsPath := filepath.Join(plan.Out, "bench-list.sexp"), filepath.Join(plan.Out, "bench-edge.sexp")
 	// Twelve workers, all served by one process: the edge would limit a single worker to few concurrent txns.
-	text := ""
-	for i := 0; i < 12; i++ {
-		text += fmt.Sprintf("(worker w%02d (address %q))\n", i, worker)
-	}
-	text += "(release (build 1))\n" // a list without its release at the end counts as half written
-	if err := os.WriteFile(listPath, []byte(text), 0o644); err != nil {
+	if err := writeWorkerList(listPath, worker, 12); err != nil {
 		return "", err
 	}
 	traceForm := "(trace (on false))"
@@ -384,7 +389,7 @@
 	if level != "" {
 		traceForm = fmt.Sprintf("(trace (folder %q) (segment 64MiB) (total 256MiB) %s)", filepath.Join(plan.Out, "trace"+levelSuffix), level)
 	}
-	text = fmt.Sprintf(`(edge %s (name "bench") (listen %q) (admin "127.0.0.1:18089") (loops %d) (log warn) (source (file %q)) (workers (connections 4096))
+	text := fmt.Sprintf(`(edge %s (name "bench") (listen %q) (admin "127.0.0.1:18089") (loops %d) (log warn) (source (file %q)) (workers (connections 4096))
   (product "read" (sla 1s) (expiry 3s) (effect inquiry-like)) (route (product "read"))
   (release (caps 0.1 1) (shares 0.1 1) (window 6s)))`, traceForm, listen, loops, listPath)
 	return settingsPath, os.WriteFile(settingsPath, []byte(text), 0o644)
--- a/lab/hostile.go
+++ b/lab/hostile.go
@@ -234,14 +234,10 @@
 		return "", err
 	}
 	listPath, settingsPath := filepath.Join(plan.Out, "hostile-list.sexp"), filepath.Join(plan.Out, "hostile-edge.sexp")
-	text := "(release (build 1))\n"
-	for i := 0; i < 8; i++ {
-		text += fmt.Sprintf("(worker w%02d (address %q))\n", i, worker)
-	}
-	if err := os.WriteFile(listPath, []byte(text), 0o644); err != nil {
+	if err := writeWorkerList(listPath, worker, 8); err != nil {
 		return "", err
 	}
-	text = fmt.Sprintf(`(edge (name "hostile") (listen %q) (log error) (source (file %q))
+	text := fmt.Sprintf(`(edge (name "hostile") (listen %q) (log error) (source (file %q))
   (door (slow-head 2s) (slow-body 2s) (slow-reader 2s) (unsent 256KiB))
   (product "ask" (sla 1s) (expiry 3s) (effect inquiry-like)) (route (product "ask"))
   (release (caps 0.1 1) (shares 0.1 1) (window 6s)))`, listen, listPath)
