edge: a client just sent a large answer may take a moment to read it

With memory short, a connection whose unsent output passed its allowance was cut at once, also a usual client's whose large answer the kernel had only taken in part.

Change: a connection is cut at once only if it was behind with its reading already; else when it has read nothing for 100 ms. The histogram of callbacks loses a field that nothing read.

--- a/edge/client.go
+++ b/edge/client.go
@@ -147,7 +147,7 @@
 		}
 		if unsent != cc.lastUnsent {
 			cc.lastUnsent, cc.unsentSince = unsent, l.now
-		} else if l.now-cc.unsentSince > logic.Nanos(limits.SlowReaderTimeout) {
+		} else if cc.isStalled(unsent) {
 			l.stats.slowReaders++
 			cc.abort(endSlowReader)
 			return
--- a/edge/duration_histogram.go
+++ b/edge/duration_histogram.go
@@ -14,14 +14,12 @@
 	atMost [len(callbackBounds)]uint64 // by the smallest bound that is not exceeded
 	count  uint64
 	sum    logic.Nanos
-	max    logic.Nanos
 }
 
 // observe counts a duration.
 func (h *durationHistogram) observe(d logic.Nanos) {
 	h.count++
 	h.sum += d
-	h.max = max(h.max, d)
 	for i, bound := range callbackBounds {
 		if d <= bound {
 			h.atMost[i]++
--- a/edge/held_bytes.go
+++ b/edge/held_bytes.go
@@ -75,7 +75,7 @@
 	heldShareDivisor = 4
 	// minHeldAllowance is what each connection may hold in any case, in bytes: enough for usual requests.
 	minHeldAllowance = 4 << 10
-	// minUnsentAllowance is how much unsent output each connection may have in any case, in bytes: enough for the largest value.
+	// minUnsentAllowance is how much unsent output, in bytes, a connection may have in any case when a further answer is sent.
 	minUnsentAllowance = 64 << 10
 )
 
--- a/edge/output.go
+++ b/edge/output.go
@@ -1,5 +1,7 @@
 package edge
 
+import "dunegrade/logic"
+
 // maxBatchBytes is the size in bytes up to which the answers to one read are collected before they are written.
 const maxBatchBytes = 16 << 10
 
@@ -36,6 +38,7 @@
 	if cc.closed {
 		return
 	}
+	wasBehind := cc.c.OutboundBuffered() > 0
 	cc.c.Write(b) // an error closes the connection and calls OnClose
 	if cc.closed {
 		return
@@ -45,7 +48,7 @@
 	if unsent == 0 {
 		return
 	}
-	if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes || unsent > max(minUnsentAllowance, cc.l.heldAllowance()) {
+	if int64(unsent) > cc.l.p.cfg.ClientLimits.MaxUnsentBytes || wasBehind && unsent > max(minUnsentAllowance, cc.l.heldAllowance()) {
 		cc.l.stats.slowReaders++
 		cc.abort(endSlowReader)
 		return
@@ -53,6 +56,17 @@
 	cc.l.scheduleClientCheck(cc, cc.l.now+outputCheckInterval)
 }
 
+// stalledReaderTimeout is how long a client may read nothing while its unsent output exceeds its allowance.
+const stalledReaderTimeout = 100 * logic.Millisecond
+
+// isStalled reports whether the client has read nothing of its unsent output for too long: for its timeout, or for a moment if
+// memory is short.
+func (cc *clientConn) isStalled(unsent int) bool {
+	l := cc.l
+	stalled := l.now - cc.unsentSince
+	return stalled > logic.Nanos(l.p.cfg.ClientLimits.SlowReaderTimeout) || stalled >= stalledReaderTimeout && unsent > l.heldAllowance()
+}
+
 // answer sends c's answer, or holds it until the answers before it are sent. If the connection may not hold it, an error takes
 // its place.
 func (cc *clientConn) answer(c *call, b []byte) {
